Free the test tree in the test runner

The address sanitizer reported 20 leaked allocations: the runner that held filtered tests was never deleted because the suite owned them too. Tests are now run one by one from the tree, which is freed.

--- a/tests/test_main.cc
+++ b/tests/test_main.cc
@@ -2,28 +2,28 @@
 
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
+#include <cppunit/Test.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
-#include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
 #include <csignal>
-#include <functional>
 #include <iostream>
+#include <memory>
 #include <string>
 
 namespace {
 
-// Adds the tests below `test` whose name contains `filter`.
-void addMatching(CppUnit::Test *test, const std::string &filter, CppUnit::TestRunner &runner)
+// Runs the tests at or below `test` whose name contains `filter`.
+void runMatching(CppUnit::Test &test, const std::string &filter, CppUnit::TestResult &controller)
 {
-    if (test->getChildTestCount() == 0) {
-        if (test->getName().find(filter) != std::string::npos)
-            runner.addTest(test);
+    if (test.getChildTestCount() == 0) {
+        if (test.getName().find(filter) != std::string::npos)
+            controller.runTest(&test);
         return;
     }
-    for (int i = 0; i < test->getChildTestCount(); ++i)
-        addMatching(test->getChildTestAt(i), filter, runner);
+    for (int i = 0; i < test.getChildTestCount(); ++i)
+        runMatching(*test.getChildTestAt(i), filter, controller);
 }
 
 } // namespace
@@ -36,10 +36,9 @@
     CppUnit::BriefTestProgressListener progress;
     controller.addListener(&result);
     controller.addListener(&progress);
-    auto *runner = new CppUnit::TestRunner; // not deleted: filtered tests belong to the suite too
-    CppUnit::Test *all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
-    addMatching(all, argc > 1 ? argv[1] : "", *runner);
-    runner->run(controller);
+    const std::unique_ptr<CppUnit::Test> all(
+        CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    runMatching(*all, argc > 1 ? argv[1] : "", controller);
     CppUnit::CompilerOutputter(&result, std::cerr).write();
     const int failed = result.testFailuresTotal();
     std::cout << result.runTests() - failed << " passed, " << failed << " failed\n";
