Carry a request along the whole path with separate processes

A control instance accepts a profile and a drain, an entry instance learns them over the feed, answers a look-up and carries a GET and a POST with a body to an upstream, with logs, a span for each hop and metrics.

Calls now wait for the connection within their deadline.

--- /dev/null
+++ b/src/cli/run_entry.cc
@@ -0,0 +1,28 @@
+#include "cli/run_entry.h"
+
+#include "base/error.h"
+#include "cli/signals.h"
+#include "entry/entry_instance.h"
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+int runEntry(const std::filesystem::path &config)
+{
+    blockStopSignals();
+    const settings loaded = loadSettings(config);
+    if (!loaded.hasEntry)
+        throw settings_error(fmt::format("{}: has no entry section", config.string()));
+    const system_clock_source clock;
+    stderr_event_log events(loaded.instance, loaded.logLevel);
+    metric_registry metrics;
+    const json_tracer tracer(loaded.instance, {loaded.traceFile, loaded.traceSample});
+    const entry_instance instance(loaded, clock, events, metrics, tracer);
+    events.write(event_id::process_started, {{"role", "entry"}, {"version", BG_VERSION}});
+    const int number = waitForStopSignal();
+    events.write(event_id::process_stopping, {{"signal", number}});
+    return 0;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/cli/signals.cc
@@ -0,0 +1,35 @@
+#include "cli/signals.h"
+
+#include <csignal>
+
+namespace buckthorngrade {
+
+namespace {
+
+sigset_t stopSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    return set;
+}
+
+} // namespace
+
+void blockStopSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t set = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+int waitForStopSignal()
+{
+    const sigset_t set = stopSignals();
+    int number = 0;
+    sigwait(&set, &number);
+    return number;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/cli/signals.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace buckthorngrade {
+
+// Blocks the signals that stop a process; call before any thread is started.
+void blockStopSignals();
+// Waits for SIGTERM or SIGINT and returns its number.
+int waitForStopSignal();
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/confirmation_duty.cc
@@ -0,0 +1,70 @@
+#include "control/confirmation_duty.h"
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds confirmPeriod{300};
+constexpr std::chrono::milliseconds confirmTimeout{1'000};
+
+} // namespace
+
+confirmation_duty::confirmation_duty(const settings &config, replicator &log,
+                                     const control_state &state, const clock_source &clock,
+                                     confirmation &target)
+    : m_settings(config)
+    , m_log(log)
+    , m_state(state)
+    , m_clock(clock)
+    , m_target(target)
+    , m_channels(config)
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+confirmation_duty::~confirmation_duty()
+{
+    m_stopping = true;
+    m_thread.join();
+}
+
+void confirmation_duty::run()
+{
+    while (!m_stopping) {
+        const role_view view = m_log.view();
+        if (view.isLeader)
+            confirmAsLeader();
+        else if (view.leader != 0)
+            askLeader(view.leader);
+        std::this_thread::sleep_for(confirmPeriod);
+    }
+}
+
+void confirmation_duty::confirmAsLeader()
+{
+    const steady_time start = m_clock.now();
+    const std::uint64_t term = m_log.view().term;
+    auto future = m_log.confirmRead(confirmTimeout);
+    if (future.wait_for(confirmTimeout * 2) == std::future_status::ready && future.get())
+        m_target.update({m_state.revision(), term, start});
+}
+
+void confirmation_duty::askLeader(replica_id leader)
+{
+    const control_channels::member *member = m_channels.find(leader);
+    if (!member)
+        return;
+    const steady_time start = m_clock.now();
+    grpc::ClientContext context;
+    context.set_wait_for_ready(true);
+    context.set_deadline(std::chrono::system_clock::now() + confirmTimeout);
+    wire::probe_request request;
+    request.set_cluster(m_settings.cluster);
+    wire::probe_reply reply;
+    if (member->link->Probe(&context, request, &reply).ok() && reply.confirmed()
+        && reply.replica() == leader)
+        m_target.update({reply.confirmed_revision(), reply.term(),
+                         start - std::chrono::milliseconds(reply.confirmed_age_ms())});
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/confirmation_duty.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "agreement/replicator.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "control/confirmation.h"
+#include "control/control_state.h"
+#include "link/control_channels.h"
+#include "model/settings.h"
+
+#include <atomic>
+#include <thread>
+
+namespace buckthorngrade {
+
+// Thread that keeps a confirmation fresh: the leader has a quorum confirm it, the other control
+// instances ask the leader. The age counts from before the question was sent, so a delayed answer
+// never looks fresher than it is.
+class confirmation_duty
+{
+public:
+    // All references must outlive this.
+    confirmation_duty(const settings &config, replicator &log, const control_state &state,
+                      const clock_source &clock, confirmation &target);
+    ~confirmation_duty();
+    confirmation_duty(const confirmation_duty &) = delete;
+    confirmation_duty &operator=(const confirmation_duty &) = delete;
+
+private:
+    void run();
+    void confirmAsLeader();
+    void askLeader(replica_id leader);
+
+    const settings &m_settings;
+    replicator &m_log;
+    const control_state &m_state;
+    const clock_source &m_clock;
+    confirmation &m_target;
+    control_channels m_channels;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/control_instance.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "agreement/replicator.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/http_listener.h"
+#include "base/metrics.h"
+#include "base/trace.h"
+#include "control/admin_server.h"
+#include "control/confirmation.h"
+#include "control/confirmation_duty.h"
+#include "control/control_state.h"
+#include "control/edit_service.h"
+#include "control/feed_hub.h"
+#include "control/feed_service.h"
+#include "control/instance_registry.h"
+#include "control/instance_service.h"
+#include "model/settings.h"
+
+#include <grpcpp/server.h>
+
+#include <memory>
+
+namespace buckthorngrade {
+
+// A running control instance. Construction starts it, destruction stops it.
+class control_instance
+{
+public:
+    // All references must outlive this. `log` must drive `state`.
+    control_instance(const settings &config, replicator &log, control_state &state, feed_hub &hub,
+                     const clock_source &clock, event_log &events, metric_registry &metrics,
+                     const json_tracer &tracer);
+    ~control_instance();
+    control_instance(const control_instance &) = delete;
+    control_instance &operator=(const control_instance &) = delete;
+
+private:
+    edit_service m_edits;
+    instance_registry m_registry;
+    confirmation m_confirmation;
+    instance_service m_instanceService;
+    feed_service m_feedService;
+    admin_server m_admin;
+    std::unique_ptr<grpc::Server> m_grpcServer;
+    http_listener m_http;
+    confirmation_duty m_confirmationDuty;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/edit_service.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "agreement/replicator.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "store.pb.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace buckthorngrade {
+
+struct command_result
+{
+    submit_result::status outcome = submit_result::status::not_accepted;
+    replica_id leader = 0; // with not_accepted: whom to ask instead
+    wire::apply_result applied; // with applied
+};
+
+// Brings commands into the replicated log: validates edits, stamps the time and waits for the
+// result. Thread-safe.
+class edit_service
+{
+public:
+    // All references must outlive this.
+    edit_service(replicator &log, const clock_source &clock, event_log &events,
+                 metric_registry &metrics);
+
+    // An edit that fails validation is answered without entering the log.
+    command_result submitEdit(const wire::edit &edit);
+    command_result submitBegin(const wire::begin_request &begin);
+    command_result submitFinish(const wire::finish_request &finish);
+
+private:
+    command_result submit(wire::command command);
+    std::optional<wire::edit_outcome> validate(const wire::edit &edit) const;
+
+    replicator &m_log;
+    const clock_source &m_clock;
+    event_log &m_events;
+    metric_counter &m_accepted;
+    metric_counter &m_rejected;
+    metric_counter &m_notAccepted;
+    metric_summary &m_commitTime;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/feed_hub.cc
@@ -0,0 +1,129 @@
+#include "control/feed_hub.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr std::size_t maxKeptChanges = 1'000;
+
+} // namespace
+
+void feed_hub::configChanged(const wire::config_change &change)
+{
+    const std::lock_guard lock(m_mutex);
+    m_revision = change.revision();
+    m_full.reset();
+    if (change.has_profile()) {
+        m_profiles[change.profile().name()] = change.profile();
+    } else if (change.has_drain()) {
+        if (change.drain().cancelled())
+            m_drains.erase(change.drain().id());
+        else
+            m_drains[change.drain().id()] = change.drain();
+    } else if (change.has_removed()) {
+        m_removed[change.removed().instance()] = change.removed();
+    }
+    m_changes.push_back(
+        {std::make_shared<const wire::config_change>(change), change.ByteSizeLong()});
+    if (m_changes.size() > maxKeptChanges) {
+        m_changesAfter = m_changes.front().change->revision();
+        m_changes.pop_front();
+    }
+    wakeAll();
+}
+
+void feed_hub::configReplaced(const wire::config_full &full)
+{
+    const std::lock_guard lock(m_mutex);
+    m_revision = full.revision();
+    m_changesAfter = full.revision();
+    m_changes.clear();
+    m_profiles.clear();
+    m_drains.clear();
+    m_removed.clear();
+    for (const auto &profile : full.profiles())
+        m_profiles[profile.name()] = profile;
+    for (const auto &drain : full.drains())
+        m_drains[drain.id()] = drain;
+    for (const auto &removed : full.removed())
+        m_removed[removed.instance()] = removed;
+    m_full = std::make_shared<const wire::config_full>(full);
+    wakeAll();
+}
+
+std::uint64_t feed_hub::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_revision;
+}
+
+feed_hub::batch feed_hub::missing(std::uint64_t known) const
+{
+    const std::lock_guard lock(m_mutex);
+    batch result;
+    result.revision = std::max(known, m_revision);
+    // A subscriber that is ahead got its configuration from an instance that is ahead of this one.
+    if (known >= m_revision)
+        return result;
+    const auto first = std::ranges::upper_bound(
+        m_changes, known, {}, [](const kept_change &kept) { return kept.change->revision(); });
+    const std::size_t bytes = std::accumulate(
+        first, m_changes.end(), std::size_t{0},
+        [](std::size_t sum, const kept_change &kept) { return sum + kept.bytes; });
+    // A new subscriber always gets the whole, so that it never builds on nothing.
+    if (known == 0 || known < m_changesAfter || bytes > fullLocked()->ByteSizeLong()) {
+        result.full = fullLocked();
+        return result;
+    }
+    std::transform(first, m_changes.end(), std::back_inserter(result.changes),
+                   [](const kept_change &kept) { return kept.change; });
+    return result;
+}
+
+std::shared_ptr<const wire::config_full> feed_hub::fullLocked() const
+{
+    if (!m_full) {
+        auto full = std::make_shared<wire::config_full>();
+        full->set_revision(m_revision);
+        for (const auto &[name, profile] : m_profiles)
+            *full->add_profiles() = profile;
+        for (const auto &[id, drain] : m_drains)
+            *full->add_drains() = drain;
+        for (const auto &[name, removed] : m_removed)
+            *full->add_removed() = removed;
+        m_full = std::move(full);
+    }
+    return m_full;
+}
+
+std::uint64_t feed_hub::addSubscriber(std::function<void()> wake)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::uint64_t id = m_nextSubscriber++;
+    m_subscribers.emplace(id, std::move(wake));
+    return id;
+}
+
+void feed_hub::removeSubscriber(std::uint64_t id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_subscribers.erase(id);
+}
+
+std::size_t feed_hub::subscriberCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_subscribers.size();
+}
+
+void feed_hub::wakeAll()
+{
+    for (const auto &[id, wake] : m_subscribers)
+        wake();
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/feed_hub.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "control/control_state.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace buckthorngrade {
+
+// Keeps the newest configuration and the latest changes for subscribers, and wakes them on each
+// change. A subscriber gets either all changes after its revision or the whole configuration,
+// whichever is smaller. Thread-safe.
+class feed_hub final : public config_listener
+{
+public:
+    void configChanged(const wire::config_change &change) override;
+    void configReplaced(const wire::config_full &full) override;
+
+    std::uint64_t revision() const;
+
+    struct batch
+    {
+        std::shared_ptr<const wire::config_full> full; // null: `changes` continue the subscriber
+        std::vector<std::shared_ptr<const wire::config_change>> changes;
+        std::uint64_t revision = 0; // of the subscriber afterwards
+    };
+    // What a subscriber at `known` lacks; both parts are empty if it is up to date.
+    batch missing(std::uint64_t known) const;
+
+    // `wake` is called after each change, under the hub's lock: it must only signal.
+    std::uint64_t addSubscriber(std::function<void()> wake);
+    void removeSubscriber(std::uint64_t id);
+    std::size_t subscriberCount() const;
+
+private:
+    struct kept_change
+    {
+        std::shared_ptr<const wire::config_change> change;
+        std::size_t bytes = 0;
+    };
+    std::shared_ptr<const wire::config_full> fullLocked() const;
+    void wakeAll();
+
+    mutable std::mutex m_mutex;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_changesAfter = 0; // m_changes holds every change after this revision
+    std::deque<kept_change> m_changes;
+    std::map<std::string, wire::profile_version> m_profiles;
+    std::map<std::string, wire::drain_record> m_drains;
+    std::map<std::string, wire::remove_instance> m_removed;
+    mutable std::shared_ptr<const wire::config_full> m_full; // cache; null after a change
+    std::map<std::uint64_t, std::function<void()>> m_subscribers;
+    std::uint64_t m_nextSubscriber = 1;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/feed_service.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "agreement/replicator.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "control/feed_hub.h"
+#include "link.grpc.pb.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace buckthorngrade {
+
+class feed_stream;
+
+// Serves wire::state_feed from a feed_hub. One thread feeds all streams, so a subscriber costs
+// memory but no thread. A subscriber that does not read is skipped until its write completes and
+// then gets what it lacks, so no queue grows.
+class feed_service final : public wire::state_feed::CallbackService
+{
+public:
+    // All references must outlive this.
+    feed_service(std::string cluster, feed_hub &hub, const replicator &log, event_log &events,
+                 metric_registry &metrics);
+    ~feed_service() override;
+    feed_service(const feed_service &) = delete;
+    feed_service &operator=(const feed_service &) = delete;
+
+    grpc::ServerWriteReactor<wire::feed_update> *
+    Subscribe(grpc::CallbackServerContext *context,
+              const wire::subscribe_request *request) override;
+
+private:
+    friend class feed_stream;
+    void run();
+    void remove(std::uint64_t id, const std::string &instance);
+
+    std::string m_cluster;
+    feed_hub &m_hub;
+    const replicator &m_log;
+    event_log &m_events;
+    metric_counter &m_sentBytes;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_dirty = false;
+    bool m_stopping = false;
+    std::uint64_t m_nextId = 1;
+    std::map<std::uint64_t, std::shared_ptr<feed_stream>> m_streams;
+    std::uint64_t m_subscription = 0;
+    std::thread m_thread;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/feed_client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/event_log.h"
+#include "entry/config_store.h"
+#include "link/control_channels.h"
+#include "model/settings.h"
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <thread>
+
+namespace buckthorngrade {
+
+// Thread that subscribes to the configuration feed of one control instance after another and
+// applies what comes to a config_store. A feed that is silent is given up for the next one.
+class feed_client
+{
+public:
+    // All references must outlive this.
+    feed_client(const settings &config, std::uint64_t incarnation, const control_channels &channels,
+                config_store &store, event_log &events);
+    ~feed_client();
+    feed_client(const feed_client &) = delete;
+    feed_client &operator=(const feed_client &) = delete;
+
+    // Replica id of the leader as last heard; 0: unknown.
+    std::uint32_t leader() const { return m_leader; }
+    // Index into control_channels::members() of the instance in use.
+    std::size_t memberInUse() const { return m_member; }
+
+private:
+    void run();
+    void follow(const control_channels::member &member);
+    bool handle(const wire::feed_update &update);
+
+    const settings &m_settings;
+    const std::uint64_t m_incarnation;
+    const control_channels &m_channels;
+    config_store &m_store;
+    event_log &m_events;
+    std::atomic<std::uint32_t> m_leader = 0;
+    std::atomic<std::size_t> m_member = 0;
+    std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex;
+    grpc::ClientContext *m_context = nullptr; // of the call under way
+    std::thread m_thread;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/instance_directory.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/clock.h"
+#include "model/instance_status.h"
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace buckthorngrade {
+
+// The entry instances as the control group last described them. Thread-safe.
+class instance_directory
+{
+public:
+    struct view
+    {
+        std::vector<instance_status> instances;
+        steady_time received;
+    };
+
+    void update(std::vector<instance_status> instances, steady_time now);
+    std::shared_ptr<const view> current() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const view> m_view = std::make_shared<const view>();
+};
+
+} // namespace buckthorngrade
