Add the replicated log: protocol core, storage and replica

The control group needs a replicated log of its own. This adds the protocol core as a pure state machine, the storage below one data folder, the replica that drives both, and a checker that runs random histories of failures.

--- /dev/null
+++ b/src/agreement/consensus_core.cc
@@ -0,0 +1,1081 @@
+#include "agreement/consensus_core.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace buckthorngrade {
+
+namespace {
+
+// Joins of this many replicas are remembered; ids come from the network.
+constexpr std::size_t maxJoins = 64;
+
+std::size_t entryBytes(const wire::log_entry &entry)
+{
+    constexpr std::size_t overhead = 64;
+    return overhead + entry.command().size();
+}
+
+wire::membership without(const wire::membership &members, replica_id id)
+{
+    wire::membership result;
+    for (const wire::log_member &member : members.members())
+        if (member.id() != id)
+            *result.add_members() = member;
+    return result;
+}
+
+void addLearner(wire::membership &members, replica_id id, std::uint64_t incarnation,
+                bool staysLearner)
+{
+    wire::log_member &added = *members.add_members();
+    added.set_id(id);
+    added.set_incarnation(incarnation);
+    added.set_voter(false);
+    added.set_stays_learner(staysLearner);
+    std::ranges::sort(*members.mutable_members(), {}, &wire::log_member::id);
+}
+
+} // namespace
+
+bool core_output::isEmpty() const
+{
+    return unsynced.empty() && !needsSync() && messages.empty() && committed.empty()
+        && reads.empty();
+}
+
+consensus_core::consensus_core(const core_settings &settings, core_state state)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_hard(state.hard)
+    , m_savedHard(state.hard)
+    , m_baseIndex(state.baseIndex)
+    , m_baseTerm(state.baseTerm)
+    , m_entries(std::move(state.entries))
+    , m_snapshot(std::move(state.snapshot))
+{
+    m_memberships[m_baseIndex] = std::move(state.baseMembers);
+    for (const wire::log_entry &entry : m_entries)
+        if (entry.kind() == wire::log_entry::MEMBERSHIP)
+            m_memberships[entry.index()] = entry.members();
+    m_commit = m_snapshot ? m_snapshot->index : m_baseIndex;
+    m_handedOut = m_commit;
+    m_stable = lastIndex();
+    m_taken = m_stable;
+    resetElectionTimer();
+}
+
+// Membership
+
+const wire::log_member *consensus_core::findMember(replica_id id) const
+{
+    for (const wire::log_member &member : members().members())
+        if (member.id() == id)
+            return &member;
+    return nullptr;
+}
+
+bool consensus_core::isSame(const wire::log_member &member, std::uint64_t incarnation,
+                            bool founding)
+{
+    return member.incarnation() == 0 ? founding : member.incarnation() == incarnation;
+}
+
+bool consensus_core::isSelf(const wire::log_member &member) const
+{
+    return member.id() == m_settings.self
+        && isSame(member, m_settings.incarnation, m_settings.founding);
+}
+
+bool consensus_core::isMember() const
+{
+    const wire::log_member *self = findMember(m_settings.self);
+    return self != nullptr && isSelf(*self);
+}
+
+bool consensus_core::isVoter() const
+{
+    const wire::log_member *self = findMember(m_settings.self);
+    return self != nullptr && isSelf(*self) && self->voter();
+}
+
+const wire::membership &consensus_core::membersAt(log_index index) const
+{
+    return std::prev(m_memberships.upper_bound(std::max(index, m_baseIndex)))->second;
+}
+
+template <typename F>
+bool consensus_core::hasMajority(const wire::membership &members, F accepts) const
+{
+    std::size_t voters = 0;
+    std::size_t accepting = 0;
+    for (const wire::log_member &member : members.members()) {
+        if (!member.voter())
+            continue;
+        ++voters;
+        if (isSelf(member) || accepts(member))
+            ++accepting;
+    }
+    return accepting > voters / 2;
+}
+
+std::uint64_t consensus_core::termAt(log_index index) const
+{
+    if (index == m_baseIndex)
+        return m_baseTerm;
+    if (index < m_baseIndex || index > lastIndex())
+        return 0;
+    return m_entries[index - m_baseIndex - 1].term();
+}
+
+bool consensus_core::isConnected() const
+{
+    if (m_role != core_role::leader)
+        return m_leaderHeard && isRecent(m_leaderHeardAt);
+    return hasMajority(members(), [this](const wire::log_member &member) {
+        const auto found = m_progress.find(member.id());
+        return found != m_progress.end() && isRecent(found->second.heardAt);
+    });
+}
+
+std::vector<member_status> consensus_core::status() const
+{
+    std::vector<member_status> result;
+    for (const wire::log_member &member : members().members()) {
+        member_status status{member.id(), member.incarnation(), member.voter(), 0, false};
+        const auto found = m_progress.find(member.id());
+        if (isSelf(member)) {
+            status.incarnation = m_settings.incarnation;
+            status.match = m_stable;
+            status.recentlyHeard = true;
+        } else if (found != m_progress.end()) {
+            if (status.incarnation == 0)
+                status.incarnation = found->second.incarnation;
+            status.match = found->second.match;
+            status.recentlyHeard = found->second.hasAnswered && isRecent(found->second.heardAt);
+        }
+        result.push_back(status);
+    }
+    return result;
+}
+
+// Messages
+
+wire::peer_message &consensus_core::addMessage(std::vector<wire::peer_message> &out, replica_id to,
+                                               std::uint64_t incarnation, std::uint64_t term) const
+{
+    wire::peer_message &message = out.emplace_back();
+    message.set_term(term);
+    message.set_from(m_settings.self);
+    message.set_from_incarnation(m_settings.incarnation);
+    message.set_from_founding(m_settings.founding);
+    message.set_to(to);
+    message.set_to_incarnation(incarnation);
+    return message;
+}
+
+wire::peer_message &consensus_core::addReply(const wire::peer_message &to)
+{
+    return addMessage(m_messages, to.from(), to.from_incarnation(), m_hard.term);
+}
+
+void consensus_core::receive(const wire::peer_message &message)
+{
+    if (message.to() != m_settings.self || message.from() == m_settings.self)
+        return;
+    if (message.body_case() == wire::peer_message::kJoin) {
+        handleJoin(message);
+        return;
+    }
+    // 0 stands for the founding member's folder; a repaired replica must not answer for it.
+    if (message.to_incarnation() == 0 ? !m_settings.founding
+                                      : message.to_incarnation() != m_settings.incarnation)
+        return;
+    switch (message.body_case()) {
+    case wire::peer_message::kAskVote:
+        handleVoteRequest(message);
+        return;
+    case wire::peer_message::kVote:
+        handleVoteReply(message);
+        return;
+    case wire::peer_message::kAppend:
+        handleAppend(message);
+        return;
+    case wire::peer_message::kChunk:
+        handleChunk(message);
+        return;
+    case wire::peer_message::kAppended:
+    case wire::peer_message::kChunkReceived:
+        if (message.term() > m_hard.term)
+            becomeFollower(message.term(), 0);
+        else if (message.body_case() == wire::peer_message::kAppended)
+            handleAppendReply(message);
+        else
+            handleChunkReply(message);
+        return;
+    default:
+        return;
+    }
+}
+
+// Elections
+
+void consensus_core::resetElectionTimer()
+{
+    m_electionElapsed = 0;
+    m_electionTimeout
+        = m_settings.electionTicks + static_cast<unsigned>(m_random() % m_settings.electionTicks);
+}
+
+void consensus_core::failReads()
+{
+    for (const pending_read &read : m_reads)
+        m_finishedReads.push_back({read.id, false, 0});
+    m_reads.clear();
+}
+
+void consensus_core::becomeFollower(std::uint64_t term, replica_id leader)
+{
+    if (m_role == core_role::leader) {
+        failReads();
+        m_progress.clear();
+        m_joins.clear();
+        m_leaderHeard = false;
+    }
+    if (term > m_hard.term)
+        m_hard = {term, 0, 0};
+    if (leader != m_leader)
+        m_incoming.reset();
+    m_role = core_role::follower;
+    m_leader = leader;
+    m_votes.clear();
+    resetElectionTimer();
+}
+
+void consensus_core::stepDown()
+{
+    becomeFollower(m_hard.term, 0);
+}
+
+void consensus_core::startPreVote()
+{
+    m_role = core_role::pre_candidate;
+    m_leader = 0;
+    m_votes.clear();
+    resetElectionTimer();
+    askForVotes(true, m_hard.term + 1);
+    countVotes();
+}
+
+void consensus_core::startElection()
+{
+    m_role = core_role::candidate;
+    m_hard = {m_hard.term + 1, m_settings.self, m_settings.incarnation};
+    m_votes.clear();
+    resetElectionTimer();
+    askForVotes(false, m_hard.term);
+    countVotes();
+}
+
+void consensus_core::askForVotes(bool preVote, std::uint64_t term)
+{
+    for (const wire::log_member &member : members().members()) {
+        if (!member.voter() || isSelf(member))
+            continue;
+        wire::vote_request &request
+            = *addMessage(m_messages, member.id(), member.incarnation(), term).mutable_ask_vote();
+        request.set_pre_vote(preVote);
+        request.set_last_index(lastIndex());
+        request.set_last_term(termAt(lastIndex()));
+    }
+}
+
+void consensus_core::countVotes()
+{
+    if (!hasMajority(members(), [this](const wire::log_member &member) {
+            return m_votes.contains(member.id());
+        }))
+        return;
+    if (m_role == core_role::pre_candidate)
+        startElection();
+    else if (m_role == core_role::candidate)
+        becomeLeader();
+}
+
+void consensus_core::becomeLeader()
+{
+    m_role = core_role::leader;
+    m_leader = m_settings.self;
+    m_progress.clear();
+    m_promoteAfter.clear();
+    m_joins.clear();
+    m_heartbeatElapsed = 0;
+    m_incoming.reset();
+    m_uncommittedBytes = 0;
+    for (log_index index = m_commit + 1; index <= lastIndex(); ++index)
+        m_uncommittedBytes += entryBytes(m_entries[index - m_baseIndex - 1]);
+    syncProgress();
+    m_termStart = lastIndex() + 1;
+    appendEntry(wire::log_entry());
+}
+
+bool consensus_core::isUpToDate(log_index lastIndexOfOther, std::uint64_t lastTermOfOther) const
+{
+    const std::uint64_t ownTerm = termAt(lastIndex());
+    return lastTermOfOther > ownTerm
+        || (lastTermOfOther == ownTerm && lastIndexOfOther >= lastIndex());
+}
+
+// A learner also votes if it is asked: only a candidate whose log has made it a voter asks, and
+// that candidate may be the only one left with the entry.
+void consensus_core::handleVoteRequest(const wire::peer_message &message)
+{
+    const wire::vote_request &request = message.ask_vote();
+    if (message.term() >= m_hard.term && isConnected() && m_leader != message.from()) {
+        // A replica that was cut off must not depose a leader that works.
+        if (request.pre_vote())
+            addReply(message).mutable_vote()->set_pre_vote(true);
+        return;
+    }
+    if (!request.pre_vote() && message.term() > m_hard.term)
+        becomeFollower(message.term(), 0);
+    bool granted = isUpToDate(request.last_index(), request.last_term());
+    if (request.pre_vote()) {
+        granted = granted && message.term() > m_hard.term;
+    } else {
+        const bool free = m_hard.votedFor == 0
+            || (m_hard.votedFor == message.from()
+                && m_hard.votedIncarnation == message.from_incarnation());
+        granted = granted && message.term() == m_hard.term && free;
+        if (granted) {
+            m_hard.votedFor = message.from();
+            m_hard.votedIncarnation = message.from_incarnation();
+            resetElectionTimer();
+        }
+    }
+    wire::peer_message &answer = addReply(message);
+    if (granted)
+        answer.set_term(message.term());
+    answer.mutable_vote()->set_pre_vote(request.pre_vote());
+    answer.mutable_vote()->set_granted(granted);
+}
+
+void consensus_core::handleVoteReply(const wire::peer_message &message)
+{
+    const wire::vote_reply &answer = message.vote();
+    if (!answer.granted()) {
+        if (message.term() > m_hard.term)
+            becomeFollower(message.term(), 0);
+        return;
+    }
+    const bool expected = answer.pre_vote()
+        ? m_role == core_role::pre_candidate && message.term() == m_hard.term + 1
+        : m_role == core_role::candidate && message.term() == m_hard.term;
+    const wire::log_member *member = findMember(message.from());
+    if (!expected || member == nullptr || !member->voter()
+        || !isSame(*member, message.from_incarnation(), message.from_founding()))
+        return;
+    m_votes.insert(message.from());
+    countVotes();
+}
+
+// Log
+
+void consensus_core::appendEntry(wire::log_entry entry)
+{
+    entry.set_index(lastIndex() + 1);
+    entry.set_term(m_hard.term);
+    m_uncommittedBytes += entryBytes(entry);
+    if (entry.kind() == wire::log_entry::MEMBERSHIP) {
+        m_memberships[entry.index()] = entry.members();
+        m_entries.push_back(std::move(entry));
+        syncProgress();
+        return;
+    }
+    m_entries.push_back(std::move(entry));
+}
+
+void consensus_core::truncateFrom(log_index index)
+{
+    if (index <= m_commit)
+        throw agreement_error("a leader's log contradicts a committed entry");
+    m_entries.resize(index - m_baseIndex - 1);
+    m_memberships.erase(m_memberships.lower_bound(index), m_memberships.end());
+    m_taken = std::min(m_taken, index - 1);
+    m_stable = std::min(m_stable, index - 1);
+}
+
+void consensus_core::advanceCommit(log_index index)
+{
+    if (index <= m_commit)
+        return;
+    if (m_role == core_role::leader) {
+        for (log_index i = m_commit + 1; i <= index; ++i)
+            m_uncommittedBytes -= entryBytes(m_entries[i - m_baseIndex - 1]);
+    }
+    m_commit = index;
+}
+
+void consensus_core::updateCommit()
+{
+    std::vector<log_index> matches;
+    for (const wire::log_member &member : members().members()) {
+        if (!member.voter())
+            continue;
+        const auto found = m_progress.find(member.id());
+        matches.push_back(isSelf(member)                  ? m_stable
+                              : found != m_progress.end() ? found->second.match
+                                                          : 0);
+    }
+    if (matches.empty())
+        return;
+    std::ranges::sort(matches, std::greater<>());
+    const log_index agreed = matches[matches.size() / 2];
+    if (agreed > m_commit && termAt(agreed) == m_hard.term)
+        advanceCommit(agreed);
+}
+
+std::optional<log_index> consensus_core::propose(std::string command)
+{
+    if (m_role != core_role::leader || command.size() > m_settings.maxCommandBytes
+        || m_uncommittedBytes + command.size() > m_settings.maxUncommittedBytes)
+        return std::nullopt;
+    wire::log_entry entry;
+    entry.set_kind(wire::log_entry::COMMAND);
+    entry.set_command(std::move(command));
+    appendEntry(std::move(entry));
+    return lastIndex();
+}
+
+// The highest index at or below `from` whose term is at most `term`; the base if there is none.
+log_index consensus_core::findAtMostTerm(log_index from, std::uint64_t term) const
+{
+    log_index index = std::min(from, lastIndex());
+    while (index > m_baseIndex && termAt(index) > term)
+        --index;
+    return index;
+}
+
+void consensus_core::acceptLeader(const wire::peer_message &message)
+{
+    if (message.term() > m_hard.term || m_role != core_role::follower || m_leader != message.from())
+        becomeFollower(message.term(), message.from());
+    m_leaderHeard = true;
+    m_leaderHeardAt = m_now;
+    m_electionElapsed = 0;
+}
+
+void consensus_core::handleAppend(const wire::peer_message &message)
+{
+    const wire::append_request &request = message.append();
+    if (message.term() < m_hard.term) {
+        // The reply's term makes the old leader step down.
+        addReply(message).mutable_appended()->set_rejected_index(request.previous_index());
+        return;
+    }
+    if (message.term() == m_hard.term && m_role == core_role::leader)
+        throw agreement_error("two replicas lead the same term");
+    acceptLeader(message);
+
+    const log_index previous = request.previous_index();
+    const log_index end = previous + static_cast<log_index>(request.entries_size());
+    wire::append_reply &answer = *addReply(message).mutable_appended();
+    answer.set_round(request.round());
+    // What precedes the base is committed and therefore equal.
+    if (previous >= m_baseIndex
+        && (previous > lastIndex() || termAt(previous) != request.previous_term())) {
+        const log_index hint = findAtMostTerm(previous, request.previous_term());
+        answer.set_rejected_index(previous);
+        answer.set_hint_index(hint);
+        answer.set_hint_term(termAt(hint));
+        return;
+    }
+    for (const wire::log_entry &entry : request.entries()) {
+        if (entry.index() <= m_baseIndex)
+            continue;
+        if (entry.index() <= lastIndex()) {
+            if (termAt(entry.index()) == entry.term())
+                continue;
+            truncateFrom(entry.index());
+        }
+        if (entry.index() != lastIndex() + 1)
+            throw agreement_error("an append message has a gap");
+        if (entry.kind() == wire::log_entry::MEMBERSHIP)
+            m_memberships[entry.index()] = entry.members();
+        m_entries.push_back(entry);
+    }
+    advanceCommit(std::min(request.commit(), end));
+    answer.set_success(true);
+    answer.set_match(end);
+}
+
+consensus_core::progress *consensus_core::acknowledgedBy(const wire::peer_message &message)
+{
+    if (m_role != core_role::leader || message.term() != m_hard.term)
+        return nullptr;
+    const wire::log_member *member = findMember(message.from());
+    const auto found = m_progress.find(message.from());
+    if (member == nullptr || found == m_progress.end()
+        || !isSame(*member, message.from_incarnation(), message.from_founding()))
+        return nullptr;
+    progress &peer = found->second;
+    if (peer.incarnation == 0)
+        peer.incarnation = message.from_incarnation();
+    if (peer.incarnation != message.from_incarnation())
+        return nullptr;
+    peer.heardAt = m_now;
+    peer.hasAnswered = true;
+    return &peer;
+}
+
+void consensus_core::handleAppendReply(const wire::peer_message &message)
+{
+    progress *peer = acknowledgedBy(message);
+    if (peer == nullptr)
+        return;
+    const wire::append_reply &answer = message.appended();
+    peer->ackedRound = std::max(peer->ackedRound, answer.round());
+    if (answer.success()) {
+        if (answer.match() > lastIndex())
+            throw agreement_error("a replica acknowledged entries that were never sent");
+        peer->match = std::max(peer->match, answer.match());
+        peer->next = std::max(peer->next, peer->match + 1);
+        while (!peer->inFlight.empty() && peer->inFlight.front().first <= peer->match) {
+            peer->inFlightBytes -= peer->inFlight.front().second;
+            peer->inFlight.pop_front();
+        }
+        if (peer->state == peer_state::snapshot) {
+            if (peer->match >= peer->snapshot->index) {
+                peer->snapshot.reset();
+                peer->state = peer_state::replicate;
+            }
+        } else if (peer->state == peer_state::probe && answer.match() + 1 >= peer->next) {
+            peer->state = peer_state::replicate;
+        }
+        updateCommit();
+    } else if (peer->state != peer_state::snapshot && answer.rejected_index() > peer->match
+               && (peer->state == peer_state::replicate
+                   || answer.rejected_index() == peer->next - 1)) {
+        // Messages that were sent after the lost one are rejected as well. Probing with one message
+        // keeps those rejections from causing a resend each.
+        const log_index hint = findAtMostTerm(answer.hint_index(), answer.hint_term());
+        peer->next = std::max(peer->match, std::min(hint, answer.rejected_index() - 1)) + 1;
+        peer->state = peer_state::probe;
+        peer->probeSent = false;
+        peer->inFlight.clear();
+        peer->inFlightBytes = 0;
+    }
+    checkReads();
+}
+
+// Snapshots
+
+void consensus_core::handleChunk(const wire::peer_message &message)
+{
+    const wire::snapshot_chunk &chunk = message.chunk();
+    if (message.term() < m_hard.term) {
+        addReply(message).mutable_chunk_received();
+        return;
+    }
+    acceptLeader(message);
+    if (chunk.index() <= m_commit) {
+        wire::append_reply &answer = *addReply(message).mutable_appended();
+        answer.set_success(true);
+        answer.set_match(chunk.index());
+        answer.set_round(chunk.round());
+        return;
+    }
+    if (chunk.total() > m_settings.maxSnapshotBytes)
+        return;
+    if (!m_incoming || m_incoming->snapshot.index != chunk.index()
+        || m_incoming->checksum != chunk.checksum() || m_incoming->total != chunk.total()) {
+        m_incoming.emplace();
+        m_incoming->snapshot.index = chunk.index();
+        m_incoming->snapshot.term = chunk.term();
+        m_incoming->snapshot.members = chunk.members();
+        m_incoming->total = chunk.total();
+        m_incoming->checksum = chunk.checksum();
+    }
+    std::string &data = m_incoming->snapshot.data;
+    if (chunk.offset() == data.size() && data.size() + chunk.data().size() <= chunk.total())
+        data += chunk.data();
+    if (data.size() == chunk.total()) {
+        if (XXH64(data.data(), data.size(), 0) == chunk.checksum()) {
+            installSnapshot(std::move(m_incoming->snapshot));
+            m_incoming.reset();
+            wire::append_reply &answer = *addReply(message).mutable_appended();
+            answer.set_success(true);
+            answer.set_match(chunk.index());
+            answer.set_round(chunk.round());
+            return;
+        }
+        data.clear();
+    }
+    wire::snapshot_reply &answer = *addReply(message).mutable_chunk_received();
+    answer.set_index(chunk.index());
+    answer.set_offset(data.size());
+    answer.set_round(chunk.round());
+}
+
+void consensus_core::installSnapshot(log_snapshot snapshot)
+{
+    if (termAt(snapshot.index) == snapshot.term && snapshot.index > m_baseIndex) {
+        advanceCommit(snapshot.index);
+        return;
+    }
+    m_entries.clear();
+    m_memberships.clear();
+    m_memberships[snapshot.index] = snapshot.members;
+    m_baseIndex = snapshot.index;
+    m_baseTerm = snapshot.term;
+    m_commit = snapshot.index;
+    m_handedOut = snapshot.index;
+    m_stable = snapshot.index;
+    m_taken = snapshot.index;
+    m_snapshot = std::make_shared<const log_snapshot>(std::move(snapshot));
+    m_installed = m_snapshot;
+}
+
+void consensus_core::handleChunkReply(const wire::peer_message &message)
+{
+    progress *peer = acknowledgedBy(message);
+    if (peer == nullptr)
+        return;
+    const wire::snapshot_reply &answer = message.chunk_received();
+    peer->ackedRound = std::max(peer->ackedRound, answer.round());
+    checkReads();
+    if (peer->state != peer_state::snapshot || answer.index() != peer->snapshot->index
+        || answer.offset() > peer->snapshot->data.size() || answer.offset() == peer->ackedOffset)
+        return;
+    peer->offsetMoved = true;
+    // Less than before: the receiver restarted.
+    if (answer.offset() < peer->ackedOffset)
+        peer->sentOffset = answer.offset();
+    peer->ackedOffset = answer.offset();
+    peer->sentOffset = std::max(peer->sentOffset, peer->ackedOffset);
+}
+
+void consensus_core::startSnapshot(progress &peer)
+{
+    peer.state = peer_state::snapshot;
+    peer.snapshot = m_snapshot;
+    peer.snapshotChecksum = XXH64(m_snapshot->data.data(), m_snapshot->data.size(), 0);
+    peer.sentOffset = 0;
+    peer.ackedOffset = 0;
+    peer.offsetMoved = true;
+    peer.probeSent = false;
+    peer.inFlight.clear();
+    peer.inFlightBytes = 0;
+}
+
+void consensus_core::sendChunks(const wire::log_member &member, progress &peer)
+{
+    const std::string &data = peer.snapshot->data;
+    const std::size_t window = m_settings.chunkBytes * m_settings.maxChunksInFlight;
+    while ((!peer.probeSent || peer.sentOffset < data.size())
+           && peer.sentOffset < peer.ackedOffset + window) {
+        const std::size_t size = std::min(m_settings.chunkBytes, data.size() - peer.sentOffset);
+        wire::snapshot_chunk &chunk
+            = *addMessage(m_unsynced, member.id(), member.incarnation(), m_hard.term)
+                   .mutable_chunk();
+        chunk.set_index(peer.snapshot->index);
+        chunk.set_term(peer.snapshot->term);
+        *chunk.mutable_members() = peer.snapshot->members;
+        chunk.set_offset(peer.sentOffset);
+        chunk.set_total(data.size());
+        chunk.set_checksum(peer.snapshotChecksum);
+        chunk.set_data(data.substr(peer.sentOffset, size));
+        chunk.set_round(m_round);
+        peer.sentOffset += size;
+        peer.probeSent = true;
+    }
+}
+
+void consensus_core::compact(std::shared_ptr<const log_snapshot> snapshot, log_index keepAfter)
+{
+    m_snapshot = std::move(snapshot);
+    if (keepAfter <= m_baseIndex)
+        return;
+    if (keepAfter > m_handedOut || keepAfter > m_snapshot->index)
+        throw agreement_error("the log can't be dropped beyond the snapshot");
+    const std::uint64_t term = termAt(keepAfter);
+    const auto last = std::prev(m_memberships.upper_bound(keepAfter));
+    wire::membership base = last->second;
+    m_memberships.erase(m_memberships.begin(), std::next(last));
+    m_memberships[keepAfter] = std::move(base);
+    m_entries.erase(m_entries.begin(),
+                    m_entries.begin() + static_cast<std::ptrdiff_t>(keepAfter - m_baseIndex));
+    m_baseIndex = keepAfter;
+    m_baseTerm = term;
+}
+
+// Replication
+
+wire::append_request &consensus_core::addAppend(const wire::log_member &member, log_index previous)
+{
+    wire::append_request &request
+        = *addMessage(m_unsynced, member.id(), member.incarnation(), m_hard.term).mutable_append();
+    request.set_previous_index(previous);
+    request.set_previous_term(termAt(previous));
+    request.set_commit(m_commit);
+    request.set_round(m_round);
+    return request;
+}
+
+void consensus_core::replicate()
+{
+    for (const wire::log_member &member : members().members()) {
+        const auto found = m_progress.find(member.id());
+        if (found == m_progress.end())
+            continue;
+        progress &peer = found->second;
+        if (peer.state != peer_state::snapshot && peer.next - 1 < m_baseIndex)
+            startSnapshot(peer);
+        if (peer.state == peer_state::snapshot) {
+            sendChunks(member, peer);
+        } else if (peer.state == peer_state::replicate) {
+            sendEntries(member, peer);
+        } else if (!peer.probeSent) {
+            addAppend(member, peer.next - 1);
+            peer.probeSent = true;
+        }
+    }
+}
+
+void consensus_core::sendEntries(const wire::log_member &member, progress &peer)
+{
+    while (peer.next <= lastIndex() && peer.inFlight.size() < m_settings.maxInFlight
+           && peer.inFlightBytes < m_settings.maxInFlightBytes) {
+        wire::append_request &request = addAppend(member, peer.next - 1);
+        std::size_t bytes = 0;
+        while (peer.next <= lastIndex()
+               && static_cast<std::size_t>(request.entries_size()) < m_settings.maxBatchEntries) {
+            const wire::log_entry &entry = m_entries[peer.next - m_baseIndex - 1];
+            if (bytes > 0 && bytes + entryBytes(entry) > m_settings.maxBatchBytes)
+                break;
+            bytes += entryBytes(entry);
+            *request.add_entries() = entry;
+            ++peer.next;
+        }
+        peer.inFlight.emplace_back(peer.next - 1, bytes);
+        peer.inFlightBytes += bytes;
+    }
+}
+
+// Previous index 0 always matches, so a peer that receives a snapshot still hears the leader.
+void consensus_core::sendHeartbeat(const wire::log_member &member, progress &peer)
+{
+    if (peer.state != peer_state::snapshot && peer.next - 1 < m_baseIndex)
+        startSnapshot(peer);
+    if (peer.state == peer_state::snapshot) {
+        wire::append_request &request = addAppend(member, 0);
+        request.set_previous_term(0);
+        return;
+    }
+    addAppend(member, peer.next - 1);
+    peer.probeSent = true;
+}
+
+void consensus_core::sendHeartbeats()
+{
+    for (const wire::log_member &member : members().members()) {
+        const auto found = m_progress.find(member.id());
+        if (found != m_progress.end())
+            sendHeartbeat(member, found->second);
+    }
+}
+
+// Reads
+
+std::optional<std::uint64_t> consensus_core::requestRead()
+{
+    if (m_role != core_role::leader)
+        return std::nullopt;
+    m_reads.push_back({m_nextReadId, 0, 0});
+    return m_nextReadId++;
+}
+
+void consensus_core::checkReads()
+{
+    while (!m_reads.empty() && m_reads.front().round != 0) {
+        const pending_read &read = m_reads.front();
+        if (!hasMajority(members(), [&](const wire::log_member &member) {
+                const auto found = m_progress.find(member.id());
+                return found != m_progress.end() && found->second.ackedRound >= read.round;
+            }))
+            return;
+        m_finishedReads.push_back({read.id, true, read.index});
+        m_reads.pop_front();
+    }
+}
+
+// Membership changes
+
+void consensus_core::syncProgress()
+{
+    std::map<replica_id, progress> kept;
+    for (const wire::log_member &member : members().members()) {
+        if (isSelf(member))
+            continue;
+        const auto found = m_progress.find(member.id());
+        const bool same = found != m_progress.end()
+            && (member.incarnation() == 0 || found->second.incarnation == member.incarnation());
+        if (same) {
+            kept[member.id()] = std::move(found->second);
+            continue;
+        }
+        m_promoteAfter.erase(member.id());
+        progress &peer = kept[member.id()];
+        peer.incarnation = member.incarnation();
+        peer.next = lastIndex() + 1;
+        peer.heardAt = m_now;
+    }
+    m_progress = std::move(kept);
+}
+
+bool consensus_core::canChangeMembership() const
+{
+    return m_role == core_role::leader && m_commit >= m_termStart
+        && m_memberships.rbegin()->first <= m_commit;
+}
+
+// Refuses a change after which the voters that answer are no majority: it could not be committed.
+membership_result consensus_core::checkChange(const wire::membership &changed) const
+{
+    const bool reachable = hasMajority(changed, [this](const wire::log_member &member) {
+        const auto found = m_progress.find(member.id());
+        return found != m_progress.end() && found->second.hasAnswered
+            && isRecent(found->second.heardAt)
+            && (member.incarnation() == 0 || found->second.incarnation == member.incarnation());
+    });
+    return reachable ? membership_result::started : membership_result::quorum_at_risk;
+}
+
+void consensus_core::appendMembership(wire::membership changed)
+{
+    wire::log_entry entry;
+    entry.set_kind(wire::log_entry::MEMBERSHIP);
+    *entry.mutable_members() = std::move(changed);
+    appendEntry(std::move(entry));
+}
+
+membership_result consensus_core::addMember(replica_id id, bool staysLearner)
+{
+    if (m_role != core_role::leader)
+        return membership_result::not_leader;
+    if (!canChangeMembership())
+        return membership_result::busy;
+    if (findMember(id) != nullptr)
+        return membership_result::already_member;
+    const auto found = m_joins.find(id);
+    if (found == m_joins.end() || !isRecentJoin(found->second))
+        return membership_result::no_request;
+    wire::membership changed = members();
+    addLearner(changed, id, found->second.incarnation, staysLearner);
+    appendMembership(std::move(changed));
+    return membership_result::started;
+}
+
+membership_result consensus_core::removeMember(replica_id id)
+{
+    if (m_role != core_role::leader)
+        return membership_result::not_leader;
+    if (!canChangeMembership())
+        return membership_result::busy;
+    if (findMember(id) == nullptr)
+        return membership_result::not_member;
+    if (id == m_settings.self)
+        return membership_result::quorum_at_risk;
+    wire::membership changed = without(members(), id);
+    const membership_result allowed = checkChange(changed);
+    if (allowed == membership_result::started)
+        appendMembership(std::move(changed));
+    return allowed;
+}
+
+membership_result consensus_core::replaceMember(replica_id oldId, replica_id newId)
+{
+    if (m_role != core_role::leader)
+        return membership_result::not_leader;
+    if (!canChangeMembership())
+        return membership_result::busy;
+    const wire::log_member *replaced = findMember(oldId);
+    if (replaced == nullptr)
+        return membership_result::not_member;
+    if (oldId == m_settings.self)
+        return membership_result::quorum_at_risk;
+    if (newId != oldId && findMember(newId) != nullptr)
+        return membership_result::already_member;
+    const auto found = m_joins.find(newId);
+    if (found == m_joins.end() || !isRecentJoin(found->second)
+        || (newId == oldId && found->second.incarnation == replaced->incarnation()))
+        return membership_result::no_request;
+    const bool staysLearner = replaced->stays_learner();
+    wire::membership changed = without(members(), oldId);
+    addLearner(changed, newId, found->second.incarnation, staysLearner);
+    const membership_result allowed = checkChange(changed);
+    if (allowed == membership_result::started)
+        appendMembership(std::move(changed));
+    return allowed;
+}
+
+void consensus_core::handleJoin(const wire::peer_message &message)
+{
+    if (m_role != core_role::leader)
+        return;
+    const wire::log_member *member = findMember(message.from());
+    if (member != nullptr && member->incarnation() == message.from_incarnation())
+        return;
+    if (m_joins.size() >= maxJoins && !m_joins.contains(message.from()))
+        return;
+    m_joins[message.from()] = {message.from_incarnation(), m_now};
+}
+
+// The changes that the leader makes by itself, at most one at a time: it records the incarnations
+// of founding members, promotes learners, and replaces emptied replicas.
+void consensus_core::maintainMembership()
+{
+    if (!canChangeMembership())
+        return;
+    wire::membership changed = members();
+    bool recorded = false;
+    for (wire::log_member &member : *changed.mutable_members()) {
+        if (member.incarnation() != 0)
+            continue;
+        const auto found = m_progress.find(member.id());
+        member.set_incarnation(isSelf(member)                  ? m_settings.incarnation
+                                   : found != m_progress.end() ? found->second.incarnation
+                                                               : 0);
+        recorded = recorded || member.incarnation() != 0;
+    }
+    if (recorded) {
+        appendMembership(std::move(changed));
+        return;
+    }
+    for (wire::log_member &member : *changed.mutable_members()) {
+        const auto found = m_progress.find(member.id());
+        if (member.voter() || member.stays_learner() || found == m_progress.end())
+            continue;
+        // The entry that made it a learner is committed: this is the moment at which the repair is
+        // confirmed, or a later one after a change of leader.
+        const log_index needed = m_promoteAfter.try_emplace(member.id(), m_commit).first->second;
+        const progress &peer = found->second;
+        if (!peer.hasAnswered || !isRecent(peer.heardAt) || peer.match < needed)
+            continue;
+        member.set_voter(true);
+        if (checkChange(changed) == membership_result::started) {
+            appendMembership(std::move(changed));
+            return;
+        }
+        member.set_voter(false);
+    }
+    for (const auto &[id, attempt] : m_joins) {
+        const wire::log_member *member = findMember(id);
+        const auto found = m_progress.find(id);
+        if (member == nullptr || found == m_progress.end() || !isRecentJoin(attempt)
+            || member->incarnation() == attempt.incarnation || isRecent(found->second.heardAt))
+            continue;
+        if (replaceMember(id, id) == membership_result::started)
+            return;
+    }
+}
+
+// Time
+
+void consensus_core::leaderTick()
+{
+    if (!isConnected()) {
+        becomeFollower(m_hard.term, 0);
+        return;
+    }
+    if (++m_heartbeatElapsed >= m_settings.heartbeatTicks) {
+        m_heartbeatElapsed = 0;
+        for (auto &[id, peer] : m_progress) {
+            if (peer.state == peer_state::snapshot && !peer.offsetMoved) {
+                peer.sentOffset = peer.ackedOffset;
+                peer.probeSent = false;
+            }
+            peer.offsetMoved = false;
+        }
+        sendHeartbeats();
+    }
+    maintainMembership();
+}
+
+void consensus_core::tick()
+{
+    ++m_now;
+    if (m_role == core_role::leader) {
+        leaderTick();
+        return;
+    }
+    if (++m_electionElapsed < m_electionTimeout)
+        return;
+    if (isVoter()) {
+        startPreVote();
+        return;
+    }
+    resetElectionTimer();
+    if (isMember())
+        return;
+    for (const replica_id peer : m_settings.peers)
+        if (peer != m_settings.self)
+            addMessage(m_messages, peer, 0, m_hard.term).mutable_join();
+}
+
+// Output
+
+core_output consensus_core::takeOutput()
+{
+    if (m_role == core_role::leader) {
+        bool newRound = false;
+        for (pending_read &read : m_reads) {
+            if (read.round != 0 || m_commit < m_termStart)
+                continue;
+            if (!newRound)
+                ++m_round;
+            newRound = true;
+            read.index = m_commit;
+            read.round = m_round;
+        }
+        if (newRound) {
+            sendHeartbeats();
+            checkReads();
+        }
+        replicate();
+    }
+    core_output output;
+    if (m_hard != m_savedHard) {
+        output.hard = m_hard;
+        m_savedHard = m_hard;
+    }
+    output.snapshot = std::move(m_installed);
+    m_installed.reset();
+    for (log_index index = m_taken + 1; index <= lastIndex(); ++index)
+        output.entries.push_back(m_entries[index - m_baseIndex - 1]);
+    m_taken = lastIndex();
+    // Entries must not leave before the vote that made this replica their leader is synced.
+    output.unsynced = std::exchange(m_unsynced, {});
+    output.messages = std::exchange(m_messages, {});
+    if (output.hard) {
+        std::ranges::move(output.unsynced, std::back_inserter(output.messages));
+        output.unsynced.clear();
+    }
+    const log_index applicable = std::min(m_commit, m_stable);
+    for (log_index index = m_handedOut + 1; index <= applicable; ++index)
+        output.committed.push_back(m_entries[index - m_baseIndex - 1]);
+    m_handedOut = std::max(m_handedOut, applicable);
+    output.reads = std::exchange(m_finishedReads, {});
+    return output;
+}
+
+void consensus_core::persisted()
+{
+    m_stable = m_taken;
+    if (m_role == core_role::leader)
+        updateCommit();
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/agreement/log_store.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "agreement.pb.h"
+#include "agreement/file_system.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace buckthorngrade {
+
+// Whose data a file holds; every file names it, so that files of another replica are not accepted.
+struct storage_owner
+{
+    std::string cluster;
+    replica_id replica = 0;
+    std::uint64_t incarnation = 0;
+};
+
+struct log_position
+{
+    std::uint64_t segment = 0;
+    std::uint64_t offset = 0;
+    auto operator<=>(const log_position &) const = default;
+};
+
+struct log_contents
+{
+    log_index firstIndex = 1; // of the first entry, or of the next one if there is none
+    std::deque<wire::log_entry> entries;
+    bool tornTail = false; // an unfinished write was removed
+};
+
+// The log as a sequence of segment files that are only appended to. An entry whose index is not
+// above the last one replaces that entry and all after it, so nothing but an unfinished write is
+// ever cut off.
+//
+// A segment starts with a header: magic, sequence number, first index, owner, flags, checksum. A
+// record has a header (length, index, term, checksum of these), the entry as protobuf, and a
+// checksum of the entry. The record header has its own checksum because a damaged length would
+// otherwise look like an unfinished write. Both checksums depend on the position.
+//
+// Only at the end of the last segment may a record be incomplete: cut short, or a remainder of
+// zeros. Anything else that does not match is corruption, also in a complete last record, because
+// that may have been acknowledged.
+class log_store
+{
+public:
+    log_store(file_system &files, std::filesystem::path folder, storage_owner owner,
+              std::uint64_t segmentBytes);
+
+    // Creates an empty log. Durable when it returns.
+    void create();
+    // Reads the log, which must reach `synced` at least. Throws storage_corruption.
+    log_contents load(log_position synced);
+    // Entries are durable after sync(). Each index is at most one above the last one.
+    void append(std::span<const wire::log_entry> entries);
+    void sync();
+    // Discards all entries; the next one has `firstIndex`. Durable when it returns.
+    void reset(log_index firstIndex);
+    // Removes segments in which all entries are at or below `index`.
+    void dropUpTo(log_index index);
+
+    log_position syncedPosition() const { return m_synced; }
+    std::uint64_t bytes() const;
+    // True if a segment was started since the last call.
+    bool takeSegmentStarted() { return std::exchange(m_segmentStarted, false); }
+
+private:
+    struct segment
+    {
+        log_index firstIndex = 0;
+        bool isReset = false;
+        std::uint64_t size = 0;
+    };
+
+    std::filesystem::path fileOf(std::uint64_t number) const;
+    std::uint64_t seedOf(std::uint64_t number, std::uint64_t offset) const;
+    std::string makeHeader(std::uint64_t number, const segment &header) const;
+    segment readHeader(std::uint64_t number, std::string_view bytes) const;
+    std::string makeRecord(const wire::log_entry &entry, std::uint64_t offset) const;
+    // Adds the records of a segment and returns the length of its valid part.
+    std::uint64_t readRecords(std::uint64_t number, std::string_view bytes, bool isLast,
+                              log_contents &contents) const;
+    std::map<std::uint64_t, std::string> readFiles();
+    void startSegment(log_index firstIndex, bool isReset);
+
+    file_system &m_files;
+    std::filesystem::path m_folder;
+    storage_owner m_owner;
+    std::uint64_t m_segmentBytes;
+    std::map<std::uint64_t, segment> m_segments; // by sequence number
+    std::unique_ptr<append_file> m_active;
+    log_index m_lastIndex = 0;
+    log_position m_synced;
+    bool m_segmentStarted = false;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/agreement/replica_storage.cc
@@ -0,0 +1,200 @@
+#include "agreement/replica_storage.h"
+
+#include "agreement/checked_file.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr std::string_view identityMagic = "BGIDENT1";
+constexpr std::string_view hardMagic = "BGHARD01";
+constexpr const char *identityName = "identity";
+constexpr const char *hardName = "hard-state";
+// The first segment without entries; initialize() creates it before the identity.
+constexpr std::uint64_t emptySegmentBytes = 56;
+
+// The log holds the entry at the snapshot's index, or starts right after it.
+bool connects(const log_contents &log, const log_snapshot &snapshot)
+{
+    const log_index last = log.firstIndex + log.entries.size() - 1;
+    if (log.firstIndex > snapshot.index + 1 || last < snapshot.index)
+        return false;
+    return snapshot.index < log.firstIndex
+        || log.entries[snapshot.index - log.firstIndex].term() == snapshot.term;
+}
+
+} // namespace
+
+replica_storage::replica_storage(file_system &files, const std::filesystem::path &folder,
+                                 std::uint64_t segmentBytes)
+    : m_files(files)
+    , m_folder(folder)
+    , m_segmentBytes(segmentBytes)
+{
+    m_files.createFolder(m_folder);
+    m_lock = m_files.lock(m_folder);
+}
+
+bool replica_storage::hasIdentity()
+{
+    const std::vector<std::string> names = m_files.list(m_folder);
+    const bool found = std::ranges::find(names, identityName) != names.end();
+    const bool hasData = std::ranges::any_of(names, [this](const std::string &name) {
+        return name.starts_with("snapshot-")
+            || (name.starts_with("log-")
+                && m_files.read(m_folder / name).size() > emptySegmentBytes);
+    });
+    if (!found && hasData)
+        throw storage_corruption(m_folder.string() + ": data without an identity file");
+    return found;
+}
+
+void replica_storage::openStores()
+{
+    m_log = std::make_unique<log_store>(m_files, m_folder, m_identity.owner, m_segmentBytes);
+    m_snapshots = std::make_unique<snapshot_store>(m_files, m_folder, m_identity.owner);
+}
+
+void replica_storage::initialize(const replica_identity &identity)
+{
+    // Rests of an initialization that did not finish.
+    for (const std::string &name : m_files.list(m_folder))
+        m_files.remove(m_folder / name);
+    m_identity = identity;
+    openStores();
+    m_log->create();
+    save(hard_state());
+    wire::stored_identity stored;
+    stored.set_cluster(identity.owner.cluster);
+    stored.set_replica(identity.owner.replica);
+    stored.set_incarnation(identity.owner.incarnation);
+    stored.set_founding(identity.founding);
+    *stored.mutable_founders() = identity.founders;
+    // Last, because its presence means that the folder is complete.
+    writeCheckedFile(m_files, m_folder / identityName, identityMagic, stored.SerializeAsString());
+}
+
+core_state replica_storage::load(const std::string &cluster, replica_id replica)
+{
+    wire::stored_identity stored;
+    if (!stored.ParseFromString(readCheckedFile(m_files, m_folder / identityName, identityMagic)))
+        throw storage_corruption(m_folder.string() + ": the identity file is not valid");
+    if (stored.cluster() != cluster || stored.replica() != replica)
+        throw storage_corruption(fmt::format("{}: the folder belongs to replica {} of cluster "
+                                             "'{}', not to replica {} of cluster '{}'",
+                                             m_folder.string(), stored.replica(), stored.cluster(),
+                                             replica, cluster));
+    m_identity.owner = {stored.cluster(), stored.replica(), stored.incarnation()};
+    m_identity.founding = stored.founding();
+    m_identity.founders = stored.founders();
+    for (const std::string &name : m_files.list(m_folder))
+        if (name.ends_with(temporaryEnding))
+            m_files.remove(m_folder / name);
+    openStores();
+
+    wire::stored_hard_state hard;
+    const auto hardFile = m_folder / hardName;
+    const std::vector<std::string> names = m_files.list(m_folder);
+    if (std::ranges::find(names, hardName) == names.end())
+        throw storage_corruption(hardFile.string() + ": the file is missing");
+    if (!hard.ParseFromString(readCheckedFile(m_files, hardFile, hardMagic))
+        || hard.incarnation() != stored.incarnation())
+        throw storage_corruption(hardFile.string() + ": the file belongs to another replica");
+    m_hard = {hard.term(), hard.voted_for(), hard.voted_incarnation()};
+
+    const auto snapshots = m_snapshots->load();
+    log_contents log = m_log->load({hard.log_segment(), hard.log_offset()});
+    m_tornTail = log.tornTail;
+
+    core_state state;
+    state.hard = m_hard;
+    state.baseMembers = m_identity.founders;
+    if (snapshots.empty()) {
+        if (log.firstIndex != 1)
+            throw storage_corruption(m_folder.string() + ": the start of the log is missing");
+    } else {
+        state.snapshot = snapshots.back();
+        if (log.firstIndex > state.snapshot->index + 1)
+            throw storage_corruption(m_folder.string()
+                                     + ": the log does not reach back to a valid snapshot");
+        if (!connects(log, *state.snapshot)) {
+            // The process ended after it stored the leader's snapshot and before it reset the log.
+            m_log->reset(state.snapshot->index + 1);
+            save(m_hard);
+            log = {state.snapshot->index + 1, {}, log.tornTail};
+        }
+        const auto base = std::ranges::find_if(
+            snapshots, [&](const auto &snapshot) { return connects(log, *snapshot); });
+        state.baseIndex = (*base)->index;
+        state.baseTerm = (*base)->term;
+        state.baseMembers = (*base)->members;
+    }
+    while (!log.entries.empty() && log.entries.front().index() <= state.baseIndex)
+        log.entries.pop_front();
+    const std::uint64_t lastTerm = log.entries.empty() ? state.baseTerm : log.entries.back().term();
+    if (lastTerm > m_hard.term)
+        throw storage_corruption(hardFile.string() + ": the term is below that of the log");
+    state.entries = std::move(log.entries);
+    m_snapshots->removeDamaged();
+    // A process that ended between a rename and the sync of the folder may have left names that are
+    // visible but not durable.
+    m_files.syncFolder(m_folder);
+    return state;
+}
+
+void replica_storage::save(const hard_state &hard)
+{
+    const log_position synced = m_log->syncedPosition();
+    wire::stored_hard_state stored;
+    stored.set_term(hard.term);
+    stored.set_voted_for(hard.votedFor);
+    stored.set_voted_incarnation(hard.votedIncarnation);
+    stored.set_log_segment(synced.segment);
+    stored.set_log_offset(synced.offset);
+    stored.set_incarnation(m_identity.owner.incarnation);
+    writeCheckedFile(m_files, m_folder / hardName, hardMagic, stored.SerializeAsString());
+    m_hard = hard;
+    m_log->takeSegmentStarted();
+}
+
+void replica_storage::append(std::span<const wire::log_entry> entries)
+{
+    m_log->append(entries);
+    m_log->sync();
+    if (m_log->takeSegmentStarted())
+        save(m_hard);
+}
+
+void replica_storage::install(const log_snapshot &snapshot)
+{
+    m_snapshots->save(snapshot);
+    m_log->reset(snapshot.index + 1);
+    save(m_hard);
+}
+
+log_index replica_storage::addSnapshot(const log_snapshot &snapshot)
+{
+    m_snapshots->save(snapshot);
+    const log_index older = m_snapshots->olderIndex();
+    m_log->dropUpTo(older);
+    return older;
+}
+
+void replica_storage::discard()
+{
+    const std::vector<std::string> names = m_files.list(m_folder);
+    if (std::ranges::find(names, identityName) != names.end()) {
+        m_files.remove(m_folder / identityName);
+        m_files.syncFolder(m_folder);
+    }
+    for (const std::string &name : names)
+        if (name != identityName)
+            m_files.remove(m_folder / name);
+    m_files.syncFolder(m_folder);
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/tests/agreement/history.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "agreement/consensus_core.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace buckthorngrade {
+
+// A rule of the protocol was broken.
+class violation : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+// Drives several cores through a random history of failures that depends only on the seed, and
+// checks the protocol's rules after each step:
+// one leader a term; equal logs up to any common entry; an entry is committed only when a majority
+// of the voters has it on disk; committed entries are never lost or changed; every replica applies
+// the same sequence; confirmed reads see all earlier commits; a replica with an emptied disk
+// neither votes nor is counted before its promotion, which happens only after it synced what was
+// committed when the repair was confirmed. At the end all failures stop, and the group must work
+// again if a majority of the voters still has its disk.
+class history
+{
+public:
+    explicit history(std::uint64_t seed, bool trace = false);
+    // Throws violation.
+    void run();
+
+    // What the histories reached; a checker that never gets to the hard cases shows nothing.
+    struct coverage
+    {
+        std::uint64_t leaders = 0;
+        std::uint64_t commits = 0;
+        std::uint64_t reads = 0;
+        std::uint64_t crashes = 0;
+        std::uint64_t emptied = 0;
+        std::uint64_t promotions = 0;
+        std::uint64_t installs = 0;
+        std::uint64_t recoveries = 0; // histories that had to work again at the end
+    };
+    const coverage &reached() const { return m_reached; }
+
+private:
+    // What survives a crash.
+    struct disk
+    {
+        hard_state hard;
+        log_index baseIndex = 0;
+        std::uint64_t baseTerm = 0;
+        wire::membership baseMembers;
+        std::shared_ptr<const log_snapshot> snapshot;
+        std::shared_ptr<const log_snapshot> older;
+        std::deque<wire::log_entry> entries;
+
+        log_index lastIndex() const { return baseIndex + entries.size(); }
+        bool has(log_index index, std::uint64_t term) const;
+    };
+
+    struct node
+    {
+        replica_id id = 0;
+        std::uint64_t incarnation = 0;
+        bool founding = false;
+        disk stored;
+        std::unique_ptr<consensus_core> core; // empty while crashed
+        bool paused = false;
+        log_index applied = 0;
+        std::uint64_t state = 0; // hash of all applied commands
+        log_index seenCommit = 0;
+        bool wasLeader = false;
+        std::uint64_t leaderTerm = 0;
+        std::map<std::uint64_t, log_index> reads; // id to the group's commit index at the request
+    };
+
+    struct in_flight
+    {
+        std::uint64_t due = 0; // step
+        wire::peer_message message;
+    };
+
+    enum class crash_point { none, before_store, within_store, after_store };
+
+    std::uint64_t random(std::uint64_t below) { return m_random() % below; }
+    bool chance(unsigned percent) { return random(100) < percent; }
+    node &randomNode() { return m_nodes[random(m_nodes.size())]; }
+    node *findNode(replica_id id);
+    node *findLeader();
+    void note(const std::string &text) const;
+    [[noreturn]] void fail(const std::string &what) const;
+
+    void startNode(node &n);
+    void crash(node &n);
+    void empty(node &n);
+    void step();
+    void injectFailure();
+    void changeMembership();
+    void cutLinks();
+    void work(node &n, crash_point point = crash_point::none);
+    void storeOutput(node &n, const core_output &output, crash_point point);
+    void send(const wire::peer_message &message);
+    void deliverDue();
+    void applyOutput(node &n, const core_output &output);
+    void compact(node &n);
+    void propose(node &n);
+
+    void checkEntries(const node &n, const core_output &output);
+    void checkMembershipEntry(const node &n, const wire::log_entry &entry);
+    void checkVotes(const core_output &output);
+    void checkRole(node &n);
+    void checkCommit(node &n);
+    void checkQuorumStored(const node &leader, log_index index, std::uint64_t term);
+    bool quorumSurvives() const;
+    void recover();
+
+    std::uint64_t m_seed;
+    bool m_trace;
+    std::mt19937_64 m_random;
+    std::uint64_t m_now = 0;
+    std::uint64_t m_nextIncarnation = 1;
+    std::uint64_t m_nextCommand = 1;
+    std::size_t m_founders = 0;
+    std::vector<node> m_nodes;
+    std::vector<in_flight> m_network;
+    std::set<std::pair<replica_id, replica_id>> m_cut;
+
+    unsigned m_lossPercent = 0;
+    unsigned m_duplicatePercent = 0;
+    unsigned m_maxDelay = 1;
+    unsigned m_failurePercent = 0;
+    bool m_empties = false;
+    bool m_changes = false;
+    bool m_healthy = false; // the final phase without failures
+
+    using entry_key = std::pair<log_index, std::uint64_t>; // index and term
+    std::map<std::uint64_t, std::pair<replica_id, std::uint64_t>> m_leaders; // by term
+    std::map<entry_key, std::pair<std::uint64_t, std::string>> m_entries; // previous term, content
+    std::vector<std::uint64_t> m_committed{0}; // term by index
+    std::map<log_index, std::uint64_t> m_states; // state hash by index
+    std::set<std::uint64_t> m_voters; // incarnations that some entry made voters
+    std::map<std::uint64_t, log_index>
+        m_learnerEntries; // incarnation to its first entry as a learner
+    std::map<std::uint64_t, log_index> m_repairConfirmed; // incarnation to the commit index then
+    // Term and candidate (id, incarnation) to the voters (id, incarnation) that granted.
+    std::map<std::tuple<std::uint64_t, replica_id, std::uint64_t>,
+             std::set<std::pair<replica_id, std::uint64_t>>>
+        m_grants;
+    coverage m_reached;
+};
+
+} // namespace buckthorngrade
