--- /dev/null
+++ b/src/steering/lookup_policy.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "base/clock.h"
+#include "model/instance_status.h"
+#include "model/profile.h"
+#include "model/topology.h"
+#include "steering/decision_record.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthorngrade {
+
+// Chooses the entry instances that a caller is told to use.
+//
+// Placement is weighted rendezvous hashing: each instance draws a uniform number u from a hash of
+// (service, placement key, instance) and scores -ln(u) / weight; the lowest score wins. An instance
+// wins with probability proportional to its weight, and losing one moves only what it had won.
+//
+// Weights come from two steps. Instances are grouped in tiers by distance from the caller: its
+// failure domain, its region, then the other regions by link delay. Walking outwards, a tier keeps
+// all remaining traffic while its mean load is below the spill threshold, then a share that falls
+// linearly to zero at full load; the rest moves on to the next tier. The threshold rises with the
+// profile's latency weight (0.45 to 0.85), so headroom-first services spill earlier. Within a tier
+// the share is divided by headroom.
+
+// How well an instance is known to run the accepted configuration, best first.
+enum class freshness { current, no_quorum_proven, unknown, isolated };
+std::string_view toString(freshness value);
+
+struct lookup_candidate
+{
+    instance_status status;
+    freshness confidence = freshness::current;
+    bool isDrained = false;
+    std::optional<std::chrono::milliseconds> reportAge; // empty: never reported
+};
+
+struct lookup_request
+{
+    std::string_view service;
+    std::uint64_t placementKey = 0; // placementKey() of the caller's address
+    std::string_view region; // preferred region of the caller; empty: unknown
+    std::string_view failureDomain; // if the block's site names one; else empty
+    bool shiftUnderWay = false;
+    std::uint64_t revision = 0;
+};
+
+struct lookup_choice
+{
+    std::size_t candidate = 0; // index into the candidates
+    std::uint32_t weight = 0; // 0 to 100; 0: only if the others fail
+};
+
+struct lookup_decision
+{
+    static constexpr std::size_t maxChoices = 3;
+    std::array<lookup_choice, maxChoices> choices{};
+    std::size_t count = 0; // 0: no instance can be named
+    std::chrono::milliseconds lifetime{0};
+    freshness confidence = freshness::current;
+    std::string_view rule;
+
+    std::span<const lookup_choice> chosen() const { return std::span(choices).first(count); }
+};
+
+// Longest time that a lookup answer is cached, and its bound while a shift is under way.
+constexpr std::chrono::milliseconds maxLookupLifetime{3000};
+constexpr std::chrono::milliseconds shiftLookupLifetime{1000};
+
+// One-way delay between regions, prepared from the topology's links.
+class delay_table
+{
+public:
+    // Assumed where the topology states no link, so that such regions come last.
+    static constexpr std::chrono::microseconds unknownDelay{500'000};
+
+    explicit delay_table(const topology &deployment);
+    // Zero within a region.
+    std::chrono::microseconds between(std::string_view from, std::string_view to) const;
+
+private:
+    std::vector<std::string> m_names; // sorted
+    std::vector<std::chrono::microseconds> m_delays; // row-major by m_names
+};
+
+// Pure. Work is linear in the candidates. If `record` is given it is filled.
+lookup_decision decideLookup(const lookup_request &request,
+                             std::span<const lookup_candidate> candidates,
+                             const delay_table &delays, const profile &rules,
+                             decision_record *record = nullptr);
+
+} // namespace buckthorngrade
