--- a/src/steering/block_table.cc
+++ b/src/steering/block_table.cc
@@ -187,8 +187,8 @@
     std::vector<range_of_block<std::uint32_t>> ranges4;
     std::vector<range_of_block<address6>> ranges6;
     for (const client_block &block : blocks) {
-        const auto [entry, added] = known.try_emplace(
-            {block.region, block.site}, static_cast<std::uint16_t>(m_targets.size()));
+        const auto [entry, added] = known.try_emplace({block.region, block.site},
+                                                      static_cast<std::uint16_t>(m_targets.size()));
         if (added) {
             if (m_targets.size() == maxTargets)
                 throw steering_error("client blocks name more than " + std::to_string(maxTargets)
--- a/src/steering/decision_record.cc
+++ b/src/steering/decision_record.cc
@@ -65,8 +65,9 @@
     object.set("id", id);
     const auto sinceEpoch
         = std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
-    object.set("time", Poco::DateTimeFormatter::format(Poco::Timestamp(sinceEpoch.count()),
-                                                       "%Y-%m-%dT%H:%M:%s%z"));
+    object.set("time",
+               Poco::DateTimeFormatter::format(Poco::Timestamp(sinceEpoch.count()),
+                                               "%Y-%m-%dT%H:%M:%s%z"));
     object.set("kind", std::string(toString(kind)));
     object.set("rule", m_rule);
     object.set("outcome", m_outcome);
--- a/src/steering/lookup_policy.cc
+++ b/src/steering/lookup_policy.cc
@@ -167,8 +167,7 @@
         || *columnFound != to)
         return unknownDelay;
     const auto row = static_cast<std::size_t>(rowFound - m_names.begin());
-    return m_delays[row * m_names.size()
-                    + static_cast<std::size_t>(columnFound - m_names.begin())];
+    return m_delays[row * m_names.size() + static_cast<std::size_t>(columnFound - m_names.begin())];
 }
 
 lookup_decision decideLookup(const lookup_request &request,
@@ -209,8 +208,7 @@
         const std::uint64_t seed
             = XXH64(request.service.data(), request.service.size(), request.placementKey);
         for (ranked &item : items)
-            item.score
-                = rendezvousScore(seed, candidates[item.candidate].status.name, item.weight);
+            item.score = rendezvousScore(seed, candidates[item.candidate].status.name, item.weight);
         decision.count = std::min(items.size(), lookup_decision::maxChoices);
         std::ranges::partial_sort(items,
                                   items.begin() + static_cast<std::ptrdiff_t>(decision.count),
@@ -242,10 +240,11 @@
         for (std::size_t i = 0; i < decision.count; ++i)
             total += items[i].weight;
         for (std::size_t i = 0; i < decision.count; ++i)
-            decision.choices[i] = {items[i].candidate,
-                                   static_cast<std::uint32_t>(
-                                       std::lround(100 * items[i].weight / total))};
-        const bool allNear = items.front().delay == std::ranges::min(items, {}, &ranked::delay).delay;
+            decision.choices[i]
+                = {items[i].candidate,
+                   static_cast<std::uint32_t>(std::lround(100 * items[i].weight / total))};
+        const bool allNear
+            = items.front().delay == std::ranges::min(items, {}, &ranked::delay).delay;
         decision.rule = allNear ? "nearest" : "spill";
     }
     if (record != nullptr)
--- a/src/steering/retry_policy.cc
+++ b/src/steering/retry_policy.cc
@@ -13,9 +13,8 @@
 constexpr int gatewayTimeout = 504;
 
 constexpr std::array<std::string_view, 9> pointWords
-    = {"no-capacity",    "connect-failed",  "reused-connection-unsent",
-       "sent-no-head",   "shed",            "other-503-or-429",
-       "body-truncated", "deadline-unsent", "deadline-sent"};
+    = {"no-capacity",      "connect-failed", "reused-connection-unsent", "sent-no-head", "shed",
+       "other-503-or-429", "body-truncated", "deadline-unsent",          "deadline-sent"};
 constexpr std::array<std::string_view, 3> kindWords = {"idempotent", "non-idempotent", "keyed"};
 constexpr std::array<std::string_view, 4> actionWords = {"retry", "refuse", "pass-on", "close"};
 constexpr std::array<std::string_view, 3> outcomeWords = {"not-run", "ran", "unknown"};
--- /dev/null
+++ b/src/steering/shift_governor.cc
@@ -0,0 +1,125 @@
+#include "steering/shift_governor.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthorngrade {
+
+namespace {
+
+bool isGood(const shift_sample &sample, const profile &rules)
+{
+    return sample.latency && *sample.latency >= std::chrono::microseconds(0)
+        && *sample.latency <= rules.latencyBound && sample.shedShare
+        && std::isfinite(*sample.shedShare) && *sample.shedShare >= 0
+        && *sample.shedShare <= rules.shedBound;
+}
+
+} // namespace
+
+std::string_view shift_governor::closeInterval(std::uint32_t step)
+{
+    const bool good = m_goodSamples > 0 && m_badSamples == 0;
+    m_goodSamples = 0;
+    m_badSamples = 0;
+    m_badIntervals = good ? 0 : m_badIntervals + 1;
+    if (m_holdLeft > 0) {
+        --m_holdLeft;
+        // Bad intervals within the hold do not count towards the next step back.
+        m_badIntervals = 0;
+        return "hold-after-step-back";
+    }
+    if (good) {
+        m_ceiling = m_limit + step;
+        return "step-granted";
+    }
+    m_ceiling = std::min(m_ceiling, m_limit);
+    if (m_badIntervals < 2)
+        return "hold";
+    m_badIntervals = 0;
+    m_holdLeft = holdIntervals;
+    m_ceiling = m_ceiling > step ? m_ceiling - step : 0;
+    return "step-back";
+}
+
+shift_decision shift_governor::update(const shift_sample &sample, const profile &rules,
+                                      steady_time now, decision_record *record)
+{
+    // At least one slot, or a small region could never take over anything.
+    const std::uint32_t step = std::max(
+        1U, static_cast<std::uint32_t>(std::floor(rules.shiftCap * sample.regionSlots + 1e-9)));
+    const std::uint32_t before = m_limit;
+    std::string_view rule = "within-interval";
+    if (!m_isStarted) {
+        m_isStarted = true;
+        m_intervalStart = now;
+        m_limit = sample.foreignPeak;
+        m_ceiling = sample.foreignPeak + step;
+        rule = "first-sample";
+    }
+    const auto width = std::chrono::duration_cast<steady_time::duration>(rules.shiftInterval)
+        / bucketsPerInterval;
+    if (m_buckets.empty() || now - m_buckets.back().start >= width)
+        m_buckets.push_back({now, sample.foreignPeak});
+    else
+        m_buckets.back().least = std::min(m_buckets.back().least, sample.foreignPeak);
+    // A bucket is dropped once all of it, up to the next one's start, is older than the interval.
+    while (m_buckets.size() > 1 && now - m_buckets[1].start > rules.shiftInterval)
+        m_buckets.pop_front();
+
+    ++(isGood(sample, rules) ? m_goodSamples : m_badSamples);
+    if (now - m_intervalStart >= rules.shiftInterval) {
+        rule = closeInterval(step);
+        m_intervalStart = now;
+    }
+    const std::uint32_t least = std::ranges::min(m_buckets, {}, &bucket::least).least;
+    m_limit = std::min(m_ceiling, least + step);
+    const shift_decision decision{
+        m_limit, sample.foreignPeak > least && sample.foreignPeak + step >= m_limit, rule};
+    if (record != nullptr) {
+        record->kind = decision_kind::shift;
+        record->profileVersion = rules.version;
+        record->setRule(rule);
+        record->addInput("foreign_peak", fmt::to_string(sample.foreignPeak));
+        record->addInput("least_in_interval", fmt::to_string(least));
+        record->addInput("step", fmt::to_string(step));
+        record->addInput("ceiling", fmt::to_string(m_ceiling));
+        record->addInput("latency_us",
+                         sample.latency ? fmt::to_string(sample.latency->count()) : "missing");
+        record->addInput("shed_share",
+                         sample.shedShare ? fmt::format("{:.4f}", *sample.shedShare) : "missing");
+        record->setOutcome(fmt::format("limit {} (was {})", m_limit, before));
+    }
+    return decision;
+}
+
+double shift_admission::announced(steady_time now) const
+{
+    const std::int64_t current = now.time_since_epoch() / bucketWidth;
+    double sum = 0;
+    for (const bucket &item : m_buckets) {
+        if (item.slot >= current)
+            sum += item.load;
+    }
+    return sum;
+}
+
+bool shift_admission::mayAnnounce(double slots, std::uint32_t foreignInFlight,
+                                  steady_time now) const
+{
+    return foreignInFlight + announced(now) + slots <= m_limit;
+}
+
+void shift_admission::announce(double slots, std::chrono::milliseconds lifetime, steady_time now)
+{
+    const auto bounded = std::min(lifetime, bucketWidth * (static_cast<int>(bucketCount) - 2));
+    const std::int64_t expiry = (now + bounded).time_since_epoch() / bucketWidth;
+    bucket &item = m_buckets[static_cast<std::size_t>(expiry) % bucketCount];
+    if (item.slot != expiry)
+        item = {expiry, 0};
+    item.load += slots;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/suspicion_rule.cc
@@ -0,0 +1,60 @@
+#include "steering/suspicion_rule.h"
+
+#include <algorithm>
+
+namespace buckthorngrade {
+
+suspicion_rule::suspicion_rule(std::uint64_t incarnation, steady_time now)
+    : m_incarnation(incarnation)
+    , m_lastReport(now)
+{ }
+
+bool suspicion_rule::recordReport(std::uint64_t incarnation, steady_time now)
+{
+    if (incarnation < m_incarnation)
+        return false;
+    m_incarnation = incarnation;
+    m_lastReport = std::max(m_lastReport, now);
+    if (!m_isSuspected)
+        return true;
+    m_isSuspected = false;
+    if (!m_refutations.empty() && now - m_refutations.back() > refutationWindow)
+        m_nextHoldOut = firstHoldOut;
+    std::erase_if(m_refutations, [&](steady_time at) { return now - at > refutationWindow; });
+    m_refutations.push_back(now);
+    if (m_refutations.size() > maxRefutations)
+        m_refutations.pop_front();
+    if (m_refutations.size() >= maxRefutations) {
+        m_heldOutUntil = now + m_nextHoldOut;
+        m_nextHoldOut = std::min(m_nextHoldOut * 2, maxHoldOut);
+    }
+    return true;
+}
+
+suspicion_decision suspicion_rule::decide(const suspicion_input &input, steady_time now)
+{
+    const auto silence = now - m_lastReport;
+    if (input.isRemovedByOperator)
+        return {instance_state::removed, "removed-by-operator"};
+    if (!input.isListed && silence >= removeAfter)
+        return {instance_state::removed, "unlisted-and-silent"};
+    if (silence >= deadAfter) {
+        m_isSuspected = true;
+        return {instance_state::dead, "silent"};
+    }
+    if (silence >= suspectAfter && input.observers != observer_opinion::reachable) {
+        m_isSuspected = true;
+        return {instance_state::suspected,
+                input.observers == observer_opinion::unreachable ? "silent-and-unreachable"
+                                                                 : "silent-no-observer"};
+    }
+    if (input.isLeaving)
+        return {instance_state::leaving, "leaving"};
+    if (!input.isReady)
+        return {instance_state::not_ready, "not-ready"};
+    if (now < m_heldOutUntil)
+        return {instance_state::suspected, "refuted-too-often"};
+    return {instance_state::live, "reporting"};
+}
+
+} // namespace buckthorngrade
--- a/src/steering/upstream_selector.cc
+++ b/src/steering/upstream_selector.cc
@@ -128,8 +128,7 @@
     return weights.latency * latency + weights.headroom * use + slowStartPenalty * (1 - warmth);
 }
 
-selection_decision selectUpstream(const upstream_tiers &tiers,
-                                  std::span<const upstream_view> views,
+selection_decision selectUpstream(const upstream_tiers &tiers, std::span<const upstream_view> views,
                                   const selection_weights &weights, std::uint64_t random,
                                   decision_record *record)
 {
--- a/src/steering/upstream_selector.h
+++ b/src/steering/upstream_selector.h
@@ -83,8 +83,7 @@
 
 // `views` parallels `tiers.places()`. `random` must be uniform over 64 bits; the same inputs give
 // the same decision. If `record` is given it is filled.
-selection_decision selectUpstream(const upstream_tiers &tiers,
-                                  std::span<const upstream_view> views,
+selection_decision selectUpstream(const upstream_tiers &tiers, std::span<const upstream_view> views,
                                   const selection_weights &weights, std::uint64_t random,
                                   decision_record *record = nullptr);
 
