--- a/testing/http_connection.cc
+++ b/testing/http_connection.cc
@@ -60,7 +60,7 @@
     return count > 0;
 }
 
-bool http_connection::readHead(Poco::Net::HTTPRequest &request)
+bool http_connection::readHead(Poco::Net::HTTPMessage &message)
 {
     std::size_t end = 0;
     while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos)
@@ -69,7 +69,7 @@
     std::istringstream head(m_buffer.substr(0, end + 4));
     m_buffer.erase(0, end + 4);
     try {
-        request.read(head);
+        message.read(head);
     } catch (const Poco::Net::NetException &) {
         return false;
     }
@@ -100,14 +100,14 @@
     return true;
 }
 
-bool http_connection::readBody(const Poco::Net::HTTPRequest &request,
+bool http_connection::readBody(const Poco::Net::HTTPMessage &message,
                                const std::function<void(std::string_view)> &sink)
 {
-    if (request.getExpectContinue())
+    if (message.get("Expect", "") == "100-continue")
         send("HTTP/1.1 100 Continue\r\n\r\n");
-    if (!request.getChunkedTransferEncoding())
-        return !request.hasContentLength()
-            || take(static_cast<std::size_t>(request.getContentLength64()), sink);
+    if (!message.getChunkedTransferEncoding())
+        return !message.hasContentLength()
+            || take(static_cast<std::size_t>(message.getContentLength64()), sink);
     std::string line;
     while (readLine(line)) {
         std::size_t size = 0;
@@ -127,6 +127,14 @@
     return false;
 }
 
+void http_connection::readToEnd(const std::function<void(std::string_view)> &sink)
+{
+    while (!m_buffer.empty() || fill()) {
+        sink(m_buffer);
+        m_buffer.clear();
+    }
+}
+
 void http_connection::send(std::string_view bytes)
 {
     while (!bytes.empty()) {
@@ -138,7 +146,7 @@
     }
 }
 
-bool http_connection::waitClientLeft(std::chrono::milliseconds timeout)
+bool http_connection::waitPeerLeft(std::chrono::milliseconds timeout)
 {
     return (pollSocket(m_socket, POLLRDHUP, timeout) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
--- a/testing/stand_in.cc
+++ b/testing/stand_in.cc
@@ -431,7 +431,7 @@
         if (deadline && !isHanging())
             pause = std::min(pause,
                              std::chrono::ceil<std::chrono::milliseconds>(start + *deadline - now));
-        if (connection.waitClientLeft(pause)) {
+        if (connection.waitPeerLeft(pause)) {
             ++m_cancelled;
             return false;
         }
--- a/testing/stand_in.h
+++ b/testing/stand_in.h
@@ -31,7 +31,7 @@
     std::chrono::milliseconds coldTime{0}; // requests are slower for this long after the start
     double coldFactor = 10; // service time right after the start, relative to later
     bool shed = true; // answers 503 beyond the slots instead of running the request
-    std::filesystem::path recordFile;
+    std::filesystem::path recordFile{};
     std::uint64_t seed = 1;
 };
 
--- a/testing/upstream_faults.h
+++ b/testing/upstream_faults.h
@@ -36,7 +36,7 @@
         std::int64_t count = -1; // requests left; -1: until cleared
         double probability = 1;
         std::chrono::milliseconds delay{0}; // for late
-        std::string pathPrefix;
+        std::string pathPrefix{};
     };
 
     explicit fault_plan(std::uint64_t seed);
