Add the command line, the examples and their tests

Operators need commands for settings, profiles, drains, status and decisions that say what to do when something is rejected or out of reach. Every command has its own list of flags and is checked against it; gflags' parser would accept each flag everywhere and exit with 1, the code for a rejected change. An edit is sent again only with its first request id.

'profile get' starts with a comment that names the version, and 'profile set' takes its base version from there, so that a change can't silently replace a version that its author never saw.

--- /dev/null
+++ b/src/cli/run.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "cli/commands.h"
+
+namespace buckthorngrade {
+
+// One function for each command; see the table in commands.cc.
+int runCheck(const command_arguments &arguments);
+int runDrain(const command_arguments &arguments);
+int runEvents(const command_arguments &arguments);
+int runExplain(const command_arguments &arguments);
+int runLookup(const command_arguments &arguments);
+int runProfile(const command_arguments &arguments);
+int runStatus(const command_arguments &arguments);
+int runVersion(const command_arguments &arguments);
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/cli/run_drain.cc
@@ -0,0 +1,110 @@
+#include "base/error.h"
+#include "base/utc_time.h"
+#include "cli/admin_client.h"
+#include "cli/cli_error.h"
+#include "cli/command_line.h"
+#include "cli/common_flags.h"
+#include "cli/edit_result.h"
+#include "cli/output.h"
+#include "cli/run.h"
+#include "model/drain.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/URI.h>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(start, "", "start of the drain in UTC, 2026-12-04T07:00:00Z; now if not given");
+DEFINE_string(end, "", "end of the drain in UTC; until cancelled if not given");
+DEFINE_string(for, "", "duration of the drain, for example 2h; instead of --end");
+
+namespace buckthorngrade {
+
+namespace {
+
+wall_time timeOfFlag(std::string_view flag, const std::string &value)
+{
+    const auto time = parseUtcTime(value);
+    if (!time)
+        throw usage_error(
+            fmt::format("--{} must be a time in UTC such as 2026-12-04T07:00:00Z", flag));
+    return *time;
+}
+
+int listDrains()
+{
+    const http_reply reply = admin_client(controlAddresses(), timeoutFlag()).get("/v1/drains");
+    if (wantsJson())
+        fmt::print("{}\n", reply.body);
+    else
+        fmt::print("{}",
+                   formatTable(*parseReply(reply), "drains",
+                               {"id", "kind", "target", "start", "end", "operator", "reason"}));
+    return exit_ok;
+}
+
+int announceDrain(const std::string &kind, const std::string &target)
+{
+    try {
+        drainTargetFromString(kind);
+    } catch (const settings_error &failure) {
+        throw usage_error(failure.what());
+    }
+    // A second attempt with the same request id must have the same content, so it can't depend on
+    // the time at which it is sent.
+    if (!FLAGS_request_id.empty() && FLAGS_start.empty())
+        throw usage_error("with --request_id, repeat the --start of the first attempt");
+    if (!FLAGS_for.empty() && !FLAGS_end.empty())
+        throw usage_error("--for and --end exclude each other");
+    const wall_time start
+        = FLAGS_start.empty() ? std::chrono::system_clock::now() : timeOfFlag("start", FLAGS_start);
+    Poco::JSON::Object content;
+    content.set("kind", kind);
+    content.set("target", target);
+    content.set("start", formatUtcTime(start));
+    if (!FLAGS_for.empty())
+        content.set("end", formatUtcTime(start + durationOfFlag("for", FLAGS_for)));
+    else if (!FLAGS_end.empty())
+        content.set("end", formatUtcTime(timeOfFlag("end", FLAGS_end)));
+    const auto addresses = controlAddresses();
+    const edit_headers headers = editHeadersFromFlags();
+    if (FLAGS_start.empty())
+        fmt::print(stderr, "start {}\n", formatUtcTime(start));
+    const http_reply reply = admin_client(addresses, timeoutFlag())
+                                 .edit("POST", "/v1/drains", headers, formatJson(content));
+    return finishEdit(reply, addresses);
+}
+
+int cancelDrain(const std::string &id)
+{
+    const auto addresses = controlAddresses();
+    std::string encoded;
+    Poco::URI::encode(id, "/?#&+=", encoded);
+    const http_reply reply
+        = admin_client(addresses, timeoutFlag())
+              .edit("DELETE", "/v1/drains/" + encoded, editHeadersFromFlags(), "");
+    return finishEdit(reply, addresses);
+}
+
+} // namespace
+
+int runDrain(const command_arguments &arguments)
+{
+    const std::string action = arguments.empty() ? "" : arguments.front();
+    wantsJson(); // a wrong --output is reported before anything is changed
+    if (action == "list") {
+        requireArguments(arguments, 1, "list");
+        return listDrains();
+    }
+    if (action == "announce") {
+        requireArguments(arguments, 3, "announce KIND TARGET");
+        return announceDrain(arguments[1], arguments[2]);
+    }
+    if (action == "cancel") {
+        requireArguments(arguments, 2, "cancel ID");
+        return cancelDrain(arguments[1]);
+    }
+    throw usage_error("expected: drain list | announce KIND TARGET | cancel ID");
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/cli/wait_in_force.cc
@@ -0,0 +1,85 @@
+#include "cli/wait_in_force.h"
+
+#include "cli/admin_client.h"
+#include "cli/cli_error.h"
+#include "cli/output.h"
+
+#include <Poco/JSON/Array.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <thread>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollInterval{250};
+
+struct progress
+{
+    std::size_t known = 0;
+    std::vector<std::string> missing;
+    bool hasLeader = false;
+
+    bool isDone() const { return hasLeader && known > 0 && missing.empty(); }
+    std::string text() const
+    {
+        if (!hasLeader)
+            return "no connected leader answers";
+        if (known == 0)
+            return "no entry instance has reported to the leader";
+        return fmt::format("in force on {} of {} entry instances{}{}", known - missing.size(),
+                           known, missing.empty() ? "" : "; missing: ", fmt::join(missing, ", "));
+    }
+};
+
+progress readProgress(std::uint64_t revision, const std::vector<std::string> &addresses,
+                      std::chrono::milliseconds timeout)
+{
+    progress result;
+    const auto status = readControlView(addresses, timeout).leader();
+    const auto instances = status ? status->getArray("instances") : nullptr;
+    result.hasLeader = !status.isNull();
+    for (std::size_t i = 0; instances && i < instances->size(); ++i) {
+        const auto instance = instances->getObject(static_cast<unsigned>(i));
+        const std::string state = instance ? fieldText(*instance, "state") : "removed";
+        if (state == "removed" || state == "dead")
+            continue;
+        ++result.known;
+        if (instance->optValue<std::uint64_t>("revision", 0) < revision)
+            result.missing.push_back(fieldText(*instance, "name") + " (" + state + ")");
+    }
+    return result;
+}
+
+} // namespace
+
+void waitInForce(std::uint64_t revision, const std::vector<std::string> &addresses,
+                 std::chrono::milliseconds timeout)
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    std::string shown;
+    while (true) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            end - std::chrono::steady_clock::now());
+        const progress now
+            = readProgress(revision, addresses, std::max(left, std::chrono::milliseconds(1)));
+        if (now.text() != shown)
+            fmt::print(stderr, "revision {}: {}\n", revision, now.text());
+        shown = now.text();
+        if (now.isDone())
+            return;
+        if (left <= pollInterval)
+            throw unreachable_error(fmt::format(
+                "revision {} was accepted but is not in force everywhere after {}ms: {}\nWhat to "
+                "do "
+                "next: 'buckthorngrade status' shows each instance's state and revision; an "
+                "instance that\ncan't reach the control group leaves itself out of lookups.",
+                revision, timeout.count(), now.text()));
+        std::this_thread::sleep_for(pollInterval); // poll interval
+    }
+}
+
+} // namespace buckthorngrade
--- a/testing/fault_proxy_control.cc
+++ b/testing/fault_proxy_control.cc
@@ -4,20 +4,14 @@
 #include "base/yaml_reader.h"
 #include "testing/http_connection.h"
 
-#include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/SocketAddress.h>
 #include <fmt/format.h>
 
 namespace buckthorngrade {
 
 namespace {
 
-constexpr std::chrono::milliseconds stopPoll{100};
-constexpr std::size_t maxBodyBytes = 64UL * 1024;
-
 template <typename Duration>
 void readDuration(const Poco::JSON::Object &values, const std::string &key, Duration &target)
 {
@@ -61,65 +55,15 @@
 
 fault_proxy_control::fault_proxy_control(fault_proxy &proxy, const std::string &listen)
     : m_proxy(proxy)
-{
-    try {
-        m_listener.bind(Poco::Net::SocketAddress(listen), true);
-        m_listener.listen();
-    } catch (const Poco::Exception &failure) {
-        throw error(listen + ": " + failure.displayText());
-    }
-    m_thread = std::thread([this] { run(); });
-}
-
-fault_proxy_control::~fault_proxy_control()
-{
-    m_isStopping = true;
-    m_thread.join();
-}
-
-void fault_proxy_control::run()
-{
-    while (!m_isStopping) {
-        try {
-            const Poco::Timespan pause(std::chrono::microseconds(stopPoll).count());
-            if (m_listener.poll(pause, Poco::Net::Socket::SELECT_READ))
-                serve(m_listener.acceptConnection());
-        } catch (const Poco::Exception &) { // the client left
-        }
-    }
-}
-
-void fault_proxy_control::serve(const Poco::Net::StreamSocket &socket)
-{
-    constexpr std::chrono::seconds patience{2};
-    http_connection connection(socket);
-    Poco::Net::HTTPRequest request;
-    if (!connection.waitReadable(patience) || !connection.readHead(request))
-        return;
-    std::string body;
-    if (!connection.readBody(request, [&](std::string_view part) {
-            if (body.size() < maxBodyBytes)
-                body.append(part);
-        }))
-        return;
-    std::string answer;
-    try {
-        if (request.getURI() == "/status") {
-            answer = formatAnswer(200, "", statusJson(), false);
-        } else if (request.getURI() == "/set") {
-            apply(body);
-            answer = formatAnswer(200, "", "ok\n", false);
-        } else {
-            answer = formatAnswer(404, "", "not found\n", false);
-        }
-    } catch (const error &failure) {
-        answer = formatAnswer(400, "", std::string(failure.what()) + "\n", false);
-    } catch (const Poco::Exception &failure) {
-        answer = formatAnswer(400, "", failure.displayText() + "\n", false);
-    }
-    connection.send(answer);
-    connection.closeCleanly();
-}
+    , m_responder(listen, [this](const Poco::Net::HTTPRequest &request, const std::string &body) {
+        if (request.getURI() == "/status")
+            return formatAnswer(200, "", statusJson(), false);
+        if (request.getURI() != "/set")
+            return formatAnswer(404, "", "not found\n", false);
+        apply(body);
+        return formatAnswer(200, "", "ok\n", false);
+    })
+{ }
 
 void fault_proxy_control::apply(const std::string &body)
 {
--- a/testing/fault_proxy_control.h
+++ b/testing/fault_proxy_control.h
@@ -1,16 +1,13 @@
 #pragma once
 
 #include "testing/fault_proxy.h"
+#include "testing/http_responder.h"
 
-#include <Poco/Net/ServerSocket.h>
-
-#include <atomic>
 #include <string>
-#include <thread>
 
 namespace buckthorngrade {
 
-// Controls a fault_proxy over HTTP, one connection at a time.
+// Controls a fault_proxy over HTTP.
 //   GET  /status   counters as JSON
 //   POST /set      JSON object, all keys optional:
 //     "to_target", "to_client", "both": {"delay", "jitter", "stall_time": "5ms",
@@ -22,22 +19,15 @@
 public:
     // `proxy` must outlive this. Throws error if `listen` can't be bound.
     fault_proxy_control(fault_proxy &proxy, const std::string &listen);
-    ~fault_proxy_control();
-    fault_proxy_control(const fault_proxy_control &) = delete;
-    fault_proxy_control &operator=(const fault_proxy_control &) = delete;
 
-    std::string address() const { return m_listener.address().toString(); }
+    std::string address() const { return m_responder.address(); }
 
 private:
-    void run();
-    void serve(const Poco::Net::StreamSocket &socket);
     void apply(const std::string &body);
     std::string statusJson() const;
 
     fault_proxy &m_proxy;
-    Poco::Net::ServerSocket m_listener;
-    std::atomic<bool> m_isStopping = false;
-    std::thread m_thread;
+    http_responder m_responder;
 };
 
 } // namespace buckthorngrade
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -8,6 +8,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <cstring>
 #include <fstream>
 #include <sstream>
@@ -47,10 +48,8 @@
 
     std::vector<std::string> words = {program.string()};
     words.insert(words.end(), arguments.begin(), arguments.end());
-    std::vector<char *> pointers;
-    for (std::string &word : words)
-        pointers.push_back(word.data());
-    pointers.push_back(nullptr);
+    std::vector<char *> pointers(words.size() + 1, nullptr);
+    std::ranges::transform(words, pointers.begin(), [](std::string &word) { return word.data(); });
     const int failure
         = ::posix_spawn(&m_id, program.c_str(), &actions, &attributes, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/testing/stand_in_test.cc
+++ b/tests/testing/stand_in_test.cc
@@ -11,6 +11,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <future>
 #include <memory>
 
@@ -50,11 +51,11 @@
     {
         stand_in upstream({.slots = 2});
         upstream.faults().add({.kind = upstream_fault::hang, .count = 2});
-        std::vector<std::future<http_response>> hanging;
-        for (int i = 0; i < 2; ++i)
-            hanging.push_back(std::async(std::launch::async, [&] {
+        std::array<std::future<http_response>, 2> hanging;
+        for (auto &each : hanging)
+            each = std::async(std::launch::async, [&] {
                 return exchange(upstream.address(), markedRequest("/a", "m"));
-            }));
+            });
         waitUntil("both slots are taken", [&] { return upstream.gauge().read().running == 2; });
         const http_response shed = exchange(upstream.address(), markedRequest("/b", "n"));
         CPPUNIT_ASSERT_EQUAL(503, shed.status);
@@ -121,7 +122,7 @@
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), std::count(text.begin(), text.end(), '\n'));
         for (const std::string part : {R"("key":"k1")", R"("mark":"m1")", R"("method":"POST")",
                                        R"("path":"/claims/7?x=1")", R"("running":1)"})
-            CPPUNIT_ASSERT_MESSAGE(part + " in " + text, text.find(part) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(part) != std::string::npos);
     }
 
     // Guards against work that continues after its caller left and is counted as free.
