Dispatch control and entry through the command table

main() had a second parser of its own for the two roles; both are now commands with the same help, flag checks and exit codes as the others.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -23,6 +23,8 @@
 const std::vector<command> &commandTable()
 {
     static const std::vector<command> table = {
+        {"control", "", "run a control instance", {"config", "initialize"}, runControl},
+        {"entry", "", "run an entry instance", {"config"}, runEntry},
         {"check",
          "[PROFILE-FILE ...]",
          "check a process's settings and profile files",
--- a/src/cli/run.h
+++ b/src/cli/run.h
@@ -6,7 +6,11 @@
 
 // One function for each command; see the table in commands.cc.
 int runCheck(const command_arguments &arguments);
+// Runs a control instance until SIGTERM or SIGINT.
+int runControl(const command_arguments &arguments);
 int runDrain(const command_arguments &arguments);
+// Runs an entry instance until SIGTERM or SIGINT, then shuts it down gracefully.
+int runEntry(const command_arguments &arguments);
 int runEvents(const command_arguments &arguments);
 int runExplain(const command_arguments &arguments);
 int runLookup(const command_arguments &arguments);
--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -1,20 +1,25 @@
-#include "cli/run_control.h"
-
 #include "agreement/local_replicator.h"
 #include "base/error.h"
+#include "cli/command_line.h"
+#include "cli/common_flags.h"
+#include "cli/run.h"
 #include "cli/signals.h"
 #include "control/control_instance.h"
 
 #include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_bool(initialize, false, "make a new data folder for a founding member of the control group");
 
 namespace buckthorngrade {
 
-int runControl(const std::filesystem::path &config, bool /*initialize*/)
+int runControl(const command_arguments &arguments)
 {
+    requireArguments(arguments, 0, "");
     blockStopSignals();
-    const settings loaded = loadSettings(config);
+    const settings loaded = loadSettings(FLAGS_config);
     if (!loaded.hasControl)
-        throw settings_error(fmt::format("{}: has no control section", config.string()));
+        throw settings_error(fmt::format("{}: has no control section", FLAGS_config));
     const system_clock_source clock;
     stderr_event_log events(loaded.instance, loaded.logLevel);
     metric_registry metrics;
--- a/src/cli/run_entry.cc
+++ b/src/cli/run_entry.cc
@@ -1,6 +1,7 @@
-#include "cli/run_entry.h"
-
 #include "base/error.h"
+#include "cli/command_line.h"
+#include "cli/common_flags.h"
+#include "cli/run.h"
 #include "cli/signals.h"
 #include "entry/entry_instance.h"
 
@@ -8,12 +9,13 @@
 
 namespace buckthorngrade {
 
-int runEntry(const std::filesystem::path &config)
+int runEntry(const command_arguments &arguments)
 {
+    requireArguments(arguments, 0, "");
     blockStopSignals();
-    const settings loaded = loadSettings(config);
+    const settings loaded = loadSettings(FLAGS_config);
     if (!loaded.hasEntry)
-        throw settings_error(fmt::format("{}: has no entry section", config.string()));
+        throw settings_error(fmt::format("{}: has no entry section", FLAGS_config));
     const system_clock_source clock;
     stderr_event_log events(loaded.instance, loaded.logLevel);
     metric_registry metrics;
