--- a/src/control/peer_link.cc
+++ b/src/control/peer_link.cc
@@ -18,7 +18,8 @@
 constexpr std::size_t maxPayloadBytes = maxPeerMessageBytes - 1024;
 constexpr std::chrono::milliseconds popTimeout{200};
 constexpr std::chrono::milliseconds connectTimeout{500};
-// The stream carries nothing back, so only keep-alive pings notice a connection that is silently cut.
+// The stream carries nothing back, so only keep-alive pings notice a connection that is silently
+// cut.
 constexpr int keepAliveMs = 5'000;
 constexpr int keepAliveTimeoutMs = 2'000;
 constexpr int minBackoffMs = 100;
--- a/src/control/peer_link.h
+++ b/src/control/peer_link.h
@@ -18,8 +18,8 @@
 // Bound on a gRPC message, for the server builder and the channels.
 inline constexpr int maxPeerMessageBytes = 4 << 20;
 
-// Carries the replicas' messages over gRPC. Each peer has a sender thread with a bounded ring and one
-// client stream, which is opened again after a growing delay when it fails.
+// Carries the replicas' messages over gRPC. Each peer has a sender thread with a bounded ring and
+// one client stream, which is opened again after a growing delay when it fails.
 class peer_link final : public peer_transport
 {
 public:
@@ -58,8 +58,9 @@
     std::map<replica_id, std::unique_ptr<peer>> m_peers;
 };
 
-// Serves replica_link.Deliver: hands the payloads of this cluster's streams to `receive`, which must
-// not block and is called from gRPC's threads. The server needs maxPeerMessageBytes as its bound.
+// Serves replica_link.Deliver: hands the payloads of this cluster's streams to `receive`, which
+// must not block and is called from gRPC's threads. The server needs maxPeerMessageBytes as its
+// bound.
 class peer_link_service final : public wire::replica_link::Service
 {
 public:
--- a/testing/memory_file_system.h
+++ b/testing/memory_file_system.h
@@ -14,7 +14,8 @@
 
 namespace buckthorngrade {
 
-// Thrown by the operation at which a simulated crash happens, and by all later ones until restart().
+// Thrown by the operation at which a simulated crash happens, and by all later ones until
+// restart().
 class simulated_crash : public std::runtime_error
 {
 public:
@@ -23,9 +24,10 @@
 
 // File system in memory that loses what was not synced. Thread-safe.
 //
-// File contents are durable after a sync of the file, names after a sync of the folder. On a crash, an
-// unsynced extension of a file is lost, kept, cut short or replaced by zeros; of the changes of names
-// that were not synced, the first few are kept, as journaling file systems keep them in order.
+// File contents are durable after a sync of the file, names after a sync of the folder. On a crash,
+// an unsynced extension of a file is lost, kept, cut short or replaced by zeros; of the changes of
+// names that were not synced, the first few are kept, as journaling file systems keep them in
+// order.
 class memory_file_system final : public file_system
 {
 public:
@@ -44,10 +46,11 @@
 
     // Operations that change something, since construction.
     std::uint64_t operations() const;
-    // The operation with this number, counted like operations(), crashes after a part of its effect.
+    // The operation with this number, counted like operations(), crashes after a part of its
+    // effect.
     void crashAt(std::uint64_t operation);
-    // Writes fail with a short write, or syncs fail, from now on until called with `none`. A failed sync
-    // leaves the data readable but never makes it durable, even if a later sync succeeds.
+    // Writes fail with a short write, or syncs fail, from now on until called with `none`. A failed
+    // sync leaves the data readable but never makes it durable, even if a later sync succeeds.
     void setFault(fault kind);
     // Comes back from a crash, or crashes now.
     void restart(lost unsynced, std::uint64_t seed);
--- /dev/null
+++ b/tests/agreement/replica_test.cc
@@ -0,0 +1,414 @@
+#include "agreement/replica.h"
+#include "testing/in_process_network.h"
+#include "testing/memory_file_system.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto patience = 60s; // a condition that is not met by then never will be
+constexpr auto pollPeriod = 2ms;
+constexpr auto requestTimeout = 2s;
+
+bool waitFor(const std::function<bool()> &condition)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > until)
+            return false;
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return true;
+}
+
+// Keeps all commands in order.
+class command_list final : public state_machine
+{
+public:
+    std::string apply(log_index, std::string_view command) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_text += std::string(command) + '\n';
+        return "applied " + std::string(command);
+    }
+    std::string snapshot() const override { return text(); }
+    void restore(log_index, std::string_view snapshot) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_text = snapshot;
+    }
+    std::string text() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_text;
+    }
+    bool has(const std::string &command) const
+    {
+        return ("\n" + text()).find("\n" + command + "\n") != std::string::npos;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::string m_text;
+};
+
+// Replicas of one group, each with a disk of its own.
+class group
+{
+public:
+    explicit group(const std::vector<replica_id> &founders)
+        : m_founders(founders)
+    {
+        for (const replica_id id : founders)
+            start(id, true);
+    }
+    ~group()
+    {
+        for (auto &[id, one] : m_members)
+            stop(id);
+    }
+
+    // Starts a process on the disk of `id`; throws what the constructor of replica throws.
+    void start(replica_id id, bool initialize = false, const std::string &cluster = "test")
+    {
+        member &one = m_members[id];
+        if (!one.disk)
+            one.disk = std::make_unique<memory_file_system>();
+        one.machine = std::make_unique<command_list>();
+        one.transport = m_network.transportOf(id);
+        replica_settings settings;
+        settings.cluster = cluster;
+        settings.self = id;
+        settings.members = m_founders;
+        settings.folder = "/data";
+        settings.initialize = initialize;
+        settings.seed = 0;
+        settings.tick = 5ms;
+        settings.heartbeat = 20ms;
+        settings.electionTimeout = 150ms;
+        settings.segmentBytes = 4'000;
+        settings.snapshotAfterBytes = 8'000;
+        one.process = std::make_unique<replica>(settings, *one.disk, *one.machine, *one.transport,
+                                                m_clock, m_events, m_metrics);
+        m_network.attach(id, [process = one.process.get()](std::string bytes) {
+            process->receive(std::move(bytes));
+        });
+        one.process->start();
+    }
+    // The process ends and what was not synced is lost.
+    void stop(replica_id id)
+    {
+        member &one = m_members[id];
+        m_network.detach(id);
+        if (one.process)
+            one.process->stop();
+        one.process.reset();
+        one.disk->restart(memory_file_system::lost::all, 1);
+    }
+    void emptyDisk(replica_id id) { m_members[id].disk = std::make_unique<memory_file_system>(); }
+
+    replica &at(replica_id id) { return *m_members[id].process; }
+    command_list &machine(replica_id id) { return *m_members[id].machine; }
+    memory_file_system &disk(replica_id id) { return *m_members[id].disk; }
+    in_process_network &network() { return m_network; }
+
+    // The leader that a quorum confirms, other than `except`; waits for it.
+    replica_id leader(replica_id except = 0)
+    {
+        replica_id found = 0;
+        CPPUNIT_ASSERT(waitFor([&] {
+            for (auto &[id, one] : m_members) {
+                if (id != except && one.process && one.process->view().isLeader
+                    && one.process->confirmRead(requestTimeout).get())
+                    found = id;
+            }
+            return found != 0;
+        }));
+        return found;
+    }
+
+    // Submits until the command is in the state.
+    void write(const std::string &command, replica_id except = 0)
+    {
+        CPPUNIT_ASSERT(waitFor([&] {
+            const replica_id to = leader(except);
+            return machine(to).has(command)
+                || at(to).submit(command, requestTimeout).get().outcome
+                == submit_result::status::applied;
+        }));
+    }
+
+    void waitForEqualState(const std::vector<replica_id> &ids)
+    {
+        CPPUNIT_ASSERT(waitFor([&] {
+            std::set<std::string> states;
+            for (const replica_id id : ids)
+                states.insert(machine(id).text());
+            return states.size() == 1;
+        }));
+    }
+
+    // Waits until the leader lists `id` with the incarnation of its process, as a voter.
+    void waitForVoter(replica_id id)
+    {
+        CPPUNIT_ASSERT(waitFor([&] {
+            const std::uint64_t incarnation = at(id).membership().incarnation;
+            for (const member_status &status : at(leader()).membership().members)
+                if (status.id == id && status.incarnation == incarnation && status.voter)
+                    return true;
+            return false;
+        }));
+    }
+
+private:
+    struct member
+    {
+        std::unique_ptr<memory_file_system> disk;
+        std::unique_ptr<command_list> machine;
+        std::unique_ptr<peer_transport> transport;
+        std::unique_ptr<replica> process;
+    };
+
+    std::vector<replica_id> m_founders;
+    in_process_network m_network{0ms};
+    system_clock_source m_clock;
+    null_event_log m_events;
+    metric_registry m_metrics;
+    std::map<replica_id, member> m_members;
+};
+
+std::string numbered(const std::string &prefix, int number)
+{
+    return prefix + std::to_string(number);
+}
+
+} // namespace
+
+class replica_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(replica_test);
+    CPPUNIT_TEST(appliesOnAllReplicas);
+    CPPUNIT_TEST(cutOffLeaderStopsAcceptingAndConfirming);
+    CPPUNIT_TEST(secondLossRightAfterRepairLosesNothing);
+    CPPUNIT_TEST(secondLossBeforePromotionOnlyStopsTheGroup);
+    CPPUNIT_TEST(catchesUpThroughSnapshots);
+    CPPUNIT_TEST(stopsOnFullDiskAndFailedSync);
+    CPPUNIT_TEST(replacesAndRemovesMembers);
+    CPPUNIT_TEST(rejectsForeignFoldersAndSecondInitialization);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a follower that accepts commands, and against replicas that differ.
+    void appliesOnAllReplicas()
+    {
+        group g({1, 2, 3});
+        const replica_id leader = g.leader();
+        const submit_result applied = g.at(leader).submit("a", requestTimeout).get();
+        if (applied.outcome == submit_result::status::applied)
+            CPPUNIT_ASSERT_EQUAL(std::string("applied a"), applied.result);
+        g.write("a");
+        g.write("b");
+        CPPUNIT_ASSERT(waitFor([&] {
+            const replica_id current = g.leader();
+            const replica_id follower = current % 3 + 1;
+            const submit_result refused = g.at(follower).submit("c", requestTimeout).get();
+            return refused.outcome == submit_result::status::not_accepted
+                && refused.leader == current;
+        }));
+        g.waitForEqualState({1, 2, 3});
+        CPPUNIT_ASSERT(!g.machine(1).has("c"));
+        const std::string before = g.machine(1).text();
+        for (const replica_id id : {1, 2, 3})
+            g.stop(id);
+        for (const replica_id id : {1, 2, 3})
+            g.start(id);
+        g.write("d");
+        CPPUNIT_ASSERT_EQUAL(before + "d\n", g.machine(g.leader()).text());
+    }
+
+    // Guards against stale reads and lost writes at a leader that nobody told about its successor.
+    void cutOffLeaderStopsAcceptingAndConfirming()
+    {
+        group g({1, 2, 3});
+        g.write("before");
+        const replica_id old = g.leader();
+        g.network().isolate(old);
+        CPPUNIT_ASSERT(!g.at(old).confirmRead(requestTimeout).get());
+        const auto lost = g.at(old).submit("lost", requestTimeout).get();
+        CPPUNIT_ASSERT(lost.outcome != submit_result::status::applied);
+        CPPUNIT_ASSERT(waitFor([&] { return !g.at(old).view().isLeader; }));
+        CPPUNIT_ASSERT(waitFor([&] { return !g.at(old).view().isConnected; }));
+        CPPUNIT_ASSERT(g.at(old).submit("refused", requestTimeout).get().outcome
+                       == submit_result::status::not_accepted);
+        CPPUNIT_ASSERT(!g.at(old).confirmRead(requestTimeout).get());
+        g.write("after", old);
+        g.network().healAll();
+        g.write("healed");
+        g.waitForEqualState({1, 2, 3});
+        CPPUNIT_ASSERT(!g.machine(old).has("lost") && !g.machine(old).has("refused"));
+        CPPUNIT_ASSERT(g.machine(old).has("after"));
+    }
+
+    // Guards against a repaired replica that counts before it has what the lost one acknowledged.
+    void secondLossRightAfterRepairLosesNothing()
+    {
+        group g({1, 2, 3});
+        for (int i = 0; i < 50; ++i)
+            g.write(numbered("first", i));
+        const replica_id emptied = g.leader() % 3 + 1;
+        g.stop(emptied);
+        g.emptyDisk(emptied);
+        g.write("while away");
+        g.start(emptied);
+        CPPUNIT_ASSERT(!g.at(emptied).view().isVoter);
+        g.waitForVoter(emptied);
+        // The leader is lost right after the promotion, with its disk.
+        const replica_id second = g.leader();
+        g.stop(second);
+        g.emptyDisk(second);
+        g.write("after second loss", second);
+        const std::string state = g.machine(g.leader(second)).text();
+        for (int i = 0; i < 50; ++i)
+            CPPUNIT_ASSERT(state.find(numbered("first", i) + "\n") != std::string::npos);
+        CPPUNIT_ASSERT(state.find("while away\n") != std::string::npos);
+        g.start(second);
+        g.waitForVoter(second);
+        g.write("end");
+        g.waitForEqualState({1, 2, 3});
+    }
+
+    // Guards against a majority made up of a replica that has only a part of the log: until the
+    // promotion, the second loss makes the group unavailable, and it works again with that disk.
+    void secondLossBeforePromotionOnlyStopsTheGroup()
+    {
+        group g({1, 2, 3});
+        g.write("kept");
+        const replica_id leader = g.leader();
+        const replica_id emptied = leader % 3 + 1;
+        const replica_id other = emptied % 3 + 1;
+        g.stop(emptied);
+        g.emptyDisk(emptied);
+        g.stop(other);
+        g.start(emptied);
+        CPPUNIT_ASSERT(waitFor([&] { return !g.at(leader).view().isLeader; }));
+        const auto refused = g.at(leader).submit("refused", 200ms).get();
+        CPPUNIT_ASSERT(refused.outcome == submit_result::status::not_accepted);
+        CPPUNIT_ASSERT(!g.at(emptied).view().isLeader && !g.at(emptied).view().isVoter);
+        g.start(other);
+        g.waitForVoter(emptied);
+        g.write("end");
+        g.waitForEqualState({1, 2, 3});
+        CPPUNIT_ASSERT(g.machine(emptied).has("kept"));
+    }
+
+    // Guards against a replica that can't return after the log it needs was dropped.
+    void catchesUpThroughSnapshots()
+    {
+        group g({1, 2, 3});
+        const replica_id away = g.leader() % 3 + 1;
+        g.stop(away);
+        for (int i = 0; i < 600; ++i)
+            g.write(numbered("a command that is long enough to fill the log quickly ", i));
+        g.start(away);
+        g.waitForEqualState({1, 2, 3});
+        // The snapshot stands in for the log at the next start, too.
+        for (const replica_id id : {1, 2, 3}) {
+            g.stop(id);
+            g.start(id);
+        }
+        g.write("end");
+        g.waitForEqualState({1, 2, 3});
+        CPPUNIT_ASSERT(g.machine(away).has(
+            numbered("a command that is long enough to fill the log quickly ", 0)));
+    }
+
+    // Guards against acknowledging what a full disk or a failed sync did not keep.
+    void stopsOnFullDiskAndFailedSync()
+    {
+        for (const auto fault :
+             {memory_file_system::fault::disk_full, memory_file_system::fault::failed_sync}) {
+            group g({1, 2, 3});
+            g.write("before");
+            const replica_id failing = g.leader();
+            g.disk(failing).setFault(fault);
+            const auto result = g.at(failing).submit("at fault", requestTimeout).get();
+            CPPUNIT_ASSERT(result.outcome != submit_result::status::applied);
+            CPPUNIT_ASSERT(waitFor([&] { return !g.at(failing).membership().failure.empty(); }));
+            CPPUNIT_ASSERT(!g.at(failing).view().isLeader);
+            CPPUNIT_ASSERT(g.at(failing).submit("refused", requestTimeout).get().outcome
+                           == submit_result::status::not_accepted);
+            CPPUNIT_ASSERT(!g.at(failing).confirmRead(requestTimeout).get());
+            g.write("during", failing);
+            g.stop(failing);
+            g.start(failing);
+            g.write("after");
+            g.waitForEqualState({1, 2, 3});
+            CPPUNIT_ASSERT(g.machine(failing).has("before") && g.machine(failing).has("during"));
+        }
+    }
+
+    // Guards against membership changes that leave a replica behind or take away the quorum.
+    void replacesAndRemovesMembers()
+    {
+        group g({1, 2, 3});
+        g.write("before");
+        CPPUNIT_ASSERT(g.at(g.leader()).addMember(9, false).get() == membership_result::no_request);
+        const replica_id removed = g.leader() % 3 + 1;
+        g.start(4);
+        CPPUNIT_ASSERT(waitFor([&] {
+            return g.at(g.leader()).replaceMember(removed, 4).get() == membership_result::started;
+        }));
+        g.waitForVoter(4);
+        g.stop(removed);
+        g.start(5);
+        CPPUNIT_ASSERT(waitFor([&] {
+            return g.at(g.leader()).addMember(5, true).get() == membership_result::started;
+        }));
+        g.write("after");
+        std::vector<replica_id> present{1, 2, 3, 4, 5};
+        std::erase(present, removed);
+        g.waitForEqualState(present);
+        CPPUNIT_ASSERT(!g.at(5).view().isVoter);
+        CPPUNIT_ASSERT(waitFor(
+            [&] { return g.at(g.leader()).removeMember(5).get() == membership_result::started; }));
+        const replica_id leader = g.leader();
+        CPPUNIT_ASSERT(waitFor(
+            [&] { return g.at(leader).removeMember(leader).get() != membership_result::busy; }));
+        g.write("end");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), g.at(g.leader()).membership().members.size());
+    }
+
+    // Guards against running on another replica's folder, and against a second founding of the
+    // group.
+    void rejectsForeignFoldersAndSecondInitialization()
+    {
+        group g({1, 2, 3});
+        g.write("before");
+        const replica_id stopped = g.leader() % 3 + 1;
+        const replica_id other = stopped % 3 + 1;
+        g.stop(stopped);
+        CPPUNIT_ASSERT_THROW(g.start(stopped, true), agreement_error);
+        CPPUNIT_ASSERT_THROW(g.start(stopped, false, "foreign"), storage_corruption);
+        g.stop(other);
+        g.disk(other).copyTo(g.disk(stopped));
+        CPPUNIT_ASSERT_THROW(g.start(stopped), storage_corruption);
+        g.emptyDisk(stopped);
+        g.start(stopped);
+        g.start(other);
+        g.waitForVoter(stopped);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(replica_test);
--- a/tests/agreement/storage_test.cc
+++ b/tests/agreement/storage_test.cc
@@ -49,8 +49,8 @@
     return {index, term, {}, fmt::format("state at {}", index)};
 }
 
-// What must be read back after a crash: everything before the operation that crashed, and either all
-// or a part of that operation.
+// What must be read back after a crash: everything before the operation that crashed, and either
+// all or a part of that operation.
 struct model
 {
     hard_state hard;
@@ -60,8 +60,8 @@
 
 std::string textOf(const model &m)
 {
-    std::string text = fmt::format("term {} vote {} snapshot {}:", m.hard.term, m.hard.votedFor,
-                                   m.snapshot);
+    std::string text
+        = fmt::format("term {} vote {} snapshot {}:", m.hard.term, m.hard.votedFor, m.snapshot);
     // What the snapshot covers may be dropped.
     for (const wire::log_entry &entry : m.entries)
         if (entry.index() > m.snapshot)
@@ -202,8 +202,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a wrong order of writes and syncs: after a crash at any operation, with any part
-    // of the unsynced data lost, everything that was reported as durable is there.
+    // Guards against a wrong order of writes and syncs: after a crash at any operation, with any
+    // part of the unsynced data lost, everything that was reported as durable is there.
     void keepsWhatWasSyncedAtEveryCrashPoint()
     {
         memory_file_system whole;
@@ -226,7 +226,8 @@
         }
     }
 
-    // Guards against accepting damaged data: a flipped bit is reported, or the state read is the same.
+    // Guards against accepting damaged data: a flipped bit is reported, or the state read is the
+    // same.
     void detectsEveryFlippedBit()
     {
         memory_file_system original;
@@ -246,8 +247,7 @@
                         = file.filename().string().find("snapshot") != std::string::npos;
                     CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bit {}", file.string(), bit),
                                            isSnapshot || textOf(state) == expected);
-                    CPPUNIT_ASSERT_EQUAL(log_index(14),
-                                         state.baseIndex + state.entries.size());
+                    CPPUNIT_ASSERT_EQUAL(log_index(14), state.baseIndex + state.entries.size());
                 } catch (const storage_corruption &) {
                     ++detected;
                 }
@@ -256,8 +256,8 @@
         CPPUNIT_ASSERT(detected > 5'000);
     }
 
-    // Guards against taking lost records for an unfinished write. Only the part after the last synced
-    // position in the hard state may be cut off.
+    // Guards against taking lost records for an unfinished write. Only the part after the last
+    // synced position in the hard state may be cut off.
     void detectsShortenedLog()
     {
         memory_file_system original;
