--- a/tests/agreement/history.cc
+++ b/tests/agreement/history.cc
@@ -50,7 +50,8 @@
     m_lossPercent = losses[random(4)];
     m_duplicatePercent = chance(50) ? 10 : 0;
     m_maxDelay = static_cast<unsigned>(1 + random(6));
-    m_failurePercent = static_cast<unsigned>(2 + random(8));
+    m_failurePercent = static_cast<unsigned>(chance(30) ? 20 + random(20) : 2 + random(8));
+    m_maxBatch = static_cast<unsigned>(1 + random(3));
     m_empties = chance(50);
     m_changes = chance(40);
     wire::membership founders;
@@ -65,6 +66,8 @@
         n.id = id;
         n.incarnation = m_nextIncarnation++;
         n.founding = id <= m_founders;
+        // A slow clock makes a replica notice late that it no longer leads.
+        n.skippedTicks = chance(25) ? 70 : 10;
         if (n.founding) {
             n.stored.baseMembers = founders;
             m_voters.insert(n.incarnation);
@@ -115,7 +118,7 @@
     settings.electionTicks = electionTicks;
     settings.heartbeatTicks = heartbeatTicks;
     settings.maxInFlight = 4;
-    settings.maxBatchEntries = 3;
+    settings.maxBatchEntries = m_maxBatch;
     settings.chunkBytes = chunkBytes;
     settings.maxChunksInFlight = 2;
     core_state state;
@@ -182,7 +185,9 @@
 
 void history::injectFailure()
 {
-    node &n = randomNode();
+    // Half of the failures hit a leader, if there is one.
+    node *leader = chance(50) ? findLeader() : nullptr;
+    node &n = leader != nullptr ? *leader : randomNode();
     switch (random(8)) {
     case 0:
     case 1:
@@ -196,6 +201,7 @@
         if (n.core) {
             // The crash comes at some point of handling the next output.
             n.core->tick();
+            n.core->propose(fmt::format("command {}", m_nextCommand++));
             work(n, static_cast<crash_point>(1 + random(3)));
         }
         break;
@@ -242,7 +248,7 @@
 {
     ++m_now;
     for (node &n : m_nodes) {
-        if (!n.core || n.paused || chance(10))
+        if (!n.core || n.paused || chance(n.skippedTicks))
             continue;
         n.core->tick();
         work(n);
@@ -578,9 +584,11 @@
 {
     m_healthy = true;
     m_lossPercent = 0;
+    m_maxDelay = 1; // with the small windows, a long delay would limit how fast replicas catch up
     m_cut.clear();
     for (node &n : m_nodes) {
         n.paused = false;
+        n.skippedTicks = 10;
         if (!n.core)
             startNode(n);
     }
--- a/tests/agreement/history.h
+++ b/tests/agreement/history.h
@@ -76,6 +76,7 @@
         disk stored;
         std::unique_ptr<consensus_core> core; // empty while crashed
         bool paused = false;
+        unsigned skippedTicks = 0; // percent
         log_index applied = 0;
         std::uint64_t state = 0; // hash of all applied commands
         log_index seenCommit = 0;
@@ -138,6 +139,7 @@
     unsigned m_lossPercent = 0;
     unsigned m_duplicatePercent = 0;
     unsigned m_maxDelay = 1;
+    unsigned m_maxBatch = 1;
     unsigned m_failurePercent = 0;
     bool m_empties = false;
     bool m_changes = false;
