--- a/src/steering/slot_allocator.cc
+++ b/src/steering/slot_allocator.cc
@@ -202,8 +202,8 @@
             pool.activeSeats = std::min({seatCount(service.rules.reservedShare, pool.spec.slots),
                                          pool.seats(), pool.capacity, seatsLeft});
             seatsLeft -= pool.activeSeats;
-            region.charged += pool.activeSeats;
-            region.granted += pool.activeSeats;
+            region.charged += pool.seats();
+            region.granted += pool.seats();
             pool.chargedBeyondSeats = 0;
             pool.chargedBeyondActive = 0;
             pool.targetBeyondSeats = 0;
@@ -244,10 +244,10 @@
     const std::uint32_t charge = item.committed + item.retired;
     apply(pool.chargedBeyondSeats, beyond(charge, item.seats));
     apply(pool.chargedBeyondActive, beyond(charge, item.active));
-    apply(region.charged, beyond(charge, item.active));
+    apply(region.charged, beyond(charge, item.seats));
     apply(pool.targetBeyondSeats, beyond(item.target, item.seats));
     apply(pool.targetBeyondActive, beyond(item.target, item.active));
-    apply(region.granted, beyond(item.target, item.active));
+    apply(region.granted, beyond(item.target, item.seats));
 }
 
 void slot_allocator::change(row &item, index poolIndex, const entry &changed)
@@ -639,11 +639,12 @@
     service_state &service = m_services[serviceIndex];
     if (!isStarted(item, service))
         return "start-wait";
+    enforceLimits(item, service);
+    const bool isHandedOver = checkHandover(service);
     for (const index poolIndex : service.pools) {
-        while (canRaise(item, poolIndex, false))
+        while (isHandedOver && canRaise(item, poolIndex, false))
             setTarget(item, poolIndex, item.entries[poolIndex].target + 1);
     }
-    enforceLimits(item, service);
     const std::uint32_t have = item.demands[serviceIndex].total;
     const double fair = fairShare(item, serviceIndex);
     if (record != nullptr) {
@@ -652,7 +653,7 @@
         record->addInput("demand " + service.name,
                          fmt::format("{:.1f}", item.demands[serviceIndex].estimate));
     }
-    if (!checkHandover(service))
+    if (!isHandedOver)
         return "handover-wait";
     const auto share = static_cast<std::uint32_t>(std::max(fair, 0.0));
     std::string_view rule = "unchanged";
--- a/src/steering/slot_allocator.h
+++ b/src/steering/slot_allocator.h
@@ -52,7 +52,8 @@
 //     up, and the earlier leader then granted to another, was given up before the first one's claim
 //     was made, or by silence, which takes longer than the overlap. Until every member has been
 //     adopted, or the silence limit has passed since the new leader's first confirmation, nothing
-//     is raised except reserved seats.
+//     is raised: not even reserved seats, because the share may have grown since the earlier leader
+//     leased those slots.
 //  5. Reserved seats of u are a fixed set that is never leased. Which position owns which seat
 //     depends only on the settings and the share, and grows with the share, so the seats of an
 //     instance that no leader has heard of for an hour are still set aside. When the share of a
@@ -165,11 +166,13 @@
     // as the holders confirm.
     void setCapacity(const std::string &service, const std::string &upstream,
                      std::uint32_t capacity);
-    // Confirmation by a quorum was interrupted and is unbroken again since `since`.
+    // Confirmation by a quorum was interrupted for longer than the shortest election timeout, and
+    // is unbroken again since `since`.
     void setQuorumSince(steady_time since);
 
     // Reclaims slots of silent and replaced holders and ramps up warming upstreams. Call it about
-    // once a second, and before report() after a pause.
+    // once a second, but only while a quorum has answered within the shortest election timeout:
+    // voters that have not heard the leader for longer may prove to a holder that there is none.
     void advance(steady_time now);
     // Handles a report that arrived before the latest confirmation by a quorum. If `record` is
     // given it is filled.
@@ -218,8 +221,10 @@
     {
         std::string name;
         std::uint32_t limit = 0;
-        std::uint32_t charged = 0; // active seats and charges beyond them
-        std::uint32_t granted = 0; // active seats and targets beyond them
+        // Seats and charges or targets beyond them. Seats of a drained upstream stay counted: an
+        // instance without control does not hear of the drain.
+        std::uint32_t charged = 0;
+        std::uint32_t granted = 0;
         std::vector<index> pools;
     };
     struct service_state
--- /dev/null
+++ b/tests/steering/slot_allocator_test.cc
@@ -0,0 +1,582 @@
+#include "steering/block_table.h"
+#include "steering/slot_allocator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto tick = 50ms;
+constexpr auto deadline = 3000ms;
+const std::string service = "svc";
+
+using milliseconds = std::chrono::milliseconds;
+
+struct sim_options
+{
+    std::uint64_t seed = 0;
+    milliseconds length = 150s;
+    bool hasDrains = true;
+    bool changesShare = true;
+};
+
+// Holders, leaders and the network between them. Upstreams count the requests that really run,
+// also those of processes that have crashed. Holders use every slot they may, all the time.
+class slot_simulation
+{
+public:
+    explicit slot_simulation(const sim_options &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        m_rules.requestDeadline = deadline;
+        m_rules.warmup = 8s;
+        m_rules.reservedShare = 0.25;
+        for (int region = 0; region < 3; ++region) {
+            const std::string name = fmt::format("r{}", region);
+            for (int i = 0; i < 3; ++i)
+                m_pools.push_back({service, fmt::format("u{}{}", region, i), name,
+                                   fmt::format("{}{}", name, i % 2 == 0 ? 'a' : 'b'),
+                                   static_cast<std::uint32_t>(below(6) + 2)});
+            m_positions[name] = 2;
+            for (std::uint32_t i = 0; i < 2; ++i)
+                m_members.push_back({fmt::format("i{}{}", region, i), name,
+                                     fmt::format("{}{}", name, i == 0 ? 'a' : 'b'), i});
+        }
+        m_inFlight.resize(m_pools.size());
+        m_isDrained.resize(m_pools.size());
+        for (const slot_member &member : m_members)
+            m_holders.push_back(startHolder(member.instance, 1));
+        startLeader();
+    }
+
+    // Empty, or what was exceeded.
+    std::string run()
+    {
+        while (m_now < m_options.length) {
+            m_now += tick;
+            stepWorld();
+            stepLeaders();
+            deliver();
+            for (holder &item : m_holders)
+                stepHolder(item);
+            if (std::string fault = check(); !fault.empty())
+                return fmt::format("seed {} at {} ms: {}", m_options.seed, m_now.count(), fault);
+        }
+        return {};
+    }
+
+    std::uint64_t started() const { return m_started; }
+    std::uint64_t leaderCount() const { return m_term; }
+
+private:
+    struct holder
+    {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        double rate = 1; // of its clock
+        milliseconds offset{0};
+        std::vector<slot_lease> leases;
+        std::vector<std::vector<milliseconds>> work; // end times by pool
+        milliseconds nextReport{0};
+        bool isUp = true;
+        milliseconds restartAt{0};
+        bool isCutOff = false;
+        std::uint32_t demand = 0;
+    };
+    struct leader
+    {
+        std::uint64_t term = 0;
+        slot_allocator allocator;
+        double rate = 1;
+        milliseconds offset{0};
+        milliseconds endsAt = milliseconds::max(); // stops answering
+        bool hasQuorum = true;
+        milliseconds quorumLostAt{0};
+    };
+    struct message
+    {
+        milliseconds at{0};
+        std::function<void()> action;
+    };
+
+    std::uint64_t below(std::uint64_t bound) { return m_random() % bound; }
+    bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(m_random) < p; }
+    // Clocks drift apart by less than 1 s over the longest wait, and have any offset.
+    double randomRate() { return std::uniform_real_distribution<>(0.97, 1.03)(m_random); }
+    static steady_time local(milliseconds now, double rate, milliseconds offset)
+    {
+        return steady_time(milliseconds(static_cast<std::int64_t>(now.count() * rate)) + offset);
+    }
+    steady_time localNow(const holder &item) const { return local(m_now, item.rate, item.offset); }
+    steady_time localNow(const leader &item) const { return local(m_now, item.rate, item.offset); }
+
+    holder startHolder(const std::string &name, std::uint64_t incarnation)
+    {
+        holder item;
+        item.name = name;
+        item.incarnation = incarnation;
+        item.rate = randomRate();
+        item.offset = milliseconds(below(100'000) + 1000);
+        item.leases.resize(m_pools.size());
+        item.work.resize(m_pools.size());
+        item.nextReport = m_now + milliseconds(below(1000));
+        return item;
+    }
+
+    void startLeader()
+    {
+        const double rate = randomRate();
+        const milliseconds offset(below(100'000) + 1000);
+        slot_allocator_settings settings;
+        settings.term = ++m_term;
+        settings.positions = m_positions;
+        settings.membersAreComplete = m_options.seed % 2 == 0;
+        const steady_time now = local(m_now, rate, offset);
+        leader item{m_term,
+                    slot_allocator(settings, m_pools, {{service, m_rules}}, now),
+                    rate,
+                    offset,
+                    milliseconds::max(),
+                    true,
+                    milliseconds(0)};
+        item.allocator.setMembers(m_members, now);
+        for (std::size_t i = 0; i < m_pools.size(); ++i)
+            item.allocator.setDrained(service, m_pools[i].upstream, m_isDrained[i]);
+        m_leaders.push_back(std::move(item));
+        m_nextElection = m_now + 20s + milliseconds(below(60'000));
+    }
+
+    void stepWorld()
+    {
+        for (auto &ends : m_inFlight)
+            std::erase_if(ends, [&](milliseconds end) { return end <= m_now; });
+        if (m_options.hasDrains && chance(0.002)) {
+            const std::size_t i = below(m_pools.size());
+            m_isDrained[i] = !m_isDrained[i];
+            for (leader &item : m_leaders)
+                item.allocator.setDrained(service, m_pools[i].upstream, m_isDrained[i]);
+        }
+        if (m_options.hasDrains && chance(0.002)) {
+            const std::string &upstream = m_pools[below(m_pools.size())].upstream;
+            for (leader &item : m_leaders)
+                item.allocator.upstreamStarted(service, upstream, localNow(item));
+        }
+        if (m_options.changesShare && chance(0.001)) {
+            // Instances that are cut off keep the seats of the larger share.
+            m_rules.heldReservedShare = std::max(m_rules.heldReservedShare, m_rules.reservedShare);
+            m_rules.reservedShare = 0.1 * static_cast<double>(below(7));
+            for (leader &item : m_leaders)
+                item.allocator.setRules(service, m_rules);
+        }
+    }
+
+    void stepLeaders()
+    {
+        const bool isLed = !m_leaders.empty() && m_leaders.back().endsAt == milliseconds::max();
+        if (isLed && m_now >= m_nextElection) {
+            // Loses its quorum for good; it may go on answering for the overlap.
+            m_leaders.back().hasQuorum = false;
+            m_leaders.back().quorumLostAt = m_now;
+            m_leaders.back().endsAt = m_now + milliseconds(below(2000));
+            m_nextElection = m_now + (chance(0.5) ? 0ms : milliseconds(below(40'000)));
+        } else if (!isLed && m_now >= m_nextElection) {
+            startLeader();
+        } else if (isLed && m_leaders.back().hasQuorum && chance(0.002)) {
+            m_leaders.back().hasQuorum = false;
+            m_leaders.back().quorumLostAt = m_now;
+            m_quorumBackAt = m_now + milliseconds(below(1900));
+        } else if (isLed && !m_leaders.back().hasQuorum && m_now >= m_quorumBackAt) {
+            m_leaders.back().hasQuorum = true;
+            m_leaders.back().allocator.setQuorumSince(localNow(m_leaders.back()));
+        }
+        std::erase_if(m_leaders, [&](const leader &item) { return item.endsAt <= m_now; });
+        for (leader &item : m_leaders) {
+            if (m_now.count() % 1000 == 0 && (item.hasQuorum || m_now < item.quorumLostAt + 900ms))
+                item.allocator.advance(localNow(item));
+        }
+    }
+
+    void send(std::function<void()> action)
+    {
+        const int copies = chance(0.1) ? 0 : chance(0.1) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            milliseconds delay(1 + below(300));
+            if (chance(0.05))
+                delay = milliseconds(below(30'000));
+            m_messages.push_back({m_now + delay, action});
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<message> due;
+        std::erase_if(m_messages, [&](const message &item) {
+            if (item.at > m_now)
+                return false;
+            due.push_back(item);
+            return true;
+        });
+        std::ranges::shuffle(due, m_random);
+        for (const message &item : due)
+            item.action();
+    }
+
+    void stepHolder(holder &item)
+    {
+        for (auto &ends : item.work)
+            std::erase_if(ends, [&](milliseconds end) { return end <= m_now; });
+        if (!item.isUp) {
+            if (m_now >= item.restartAt)
+                item = startHolder(item.name, item.incarnation + 1);
+            return;
+        }
+        if (chance(0.0008)) {
+            item.isUp = false;
+            item.restartAt = m_now + milliseconds(below(chance(0.5) ? 500 : 20'000));
+            return;
+        }
+        if (chance(0.001))
+            item.isCutOff = !item.isCutOff;
+        if (chance(0.01))
+            item.demand = chance(0.5) ? 0 : static_cast<std::uint32_t>(below(30));
+        const steady_time now = localNow(item);
+        const bool isUnled = m_leaders.empty()
+            || (!m_leaders.back().hasQuorum && m_now >= m_leaders.back().quorumLostAt + 1s);
+        if (isUnled && chance(0.1)) {
+            for (slot_lease &lease : item.leases)
+                lease.renewByProof(now, now);
+        }
+        for (std::size_t i = 0; i < m_pools.size(); ++i) {
+            while (item.leases[i].mayStart(static_cast<std::uint32_t>(item.work[i].size()), now)) {
+                const milliseconds end
+                    = m_now + (chance(0.3) ? deadline : milliseconds(below(deadline.count()) + 1));
+                item.work[i].push_back(end);
+                m_inFlight[i].push_back(end);
+                ++m_started;
+            }
+        }
+        if (m_now >= item.nextReport) {
+            item.nextReport = m_now + 1s;
+            sendReport(item);
+        }
+    }
+
+    void sendReport(const holder &item)
+    {
+        if (item.isCutOff || m_leaders.empty())
+            return;
+        const steady_time sentAt = localNow(item);
+        slot_report report{item.name, item.incarnation, {}, {{service, item.demand, 0, 0}}};
+        for (std::size_t i = 0; i < m_pools.size(); ++i)
+            report.pools.push_back({service, m_pools[i].upstream, item.leases[i].allowed(sentAt),
+                                    static_cast<std::uint32_t>(item.work[i].size()),
+                                    item.leases[i].epoch()});
+        const std::uint64_t term = m_leaders[below(m_leaders.size())].term;
+        send([this, report, sentAt, term] {
+            const auto found = std::ranges::find(m_leaders, term, &leader::term);
+            if (found == m_leaders.end())
+                return;
+            const slot_reply reply = found->allocator.report(report, localNow(*found));
+            if (reply.isAccepted)
+                send([this, reply, report, sentAt] { receive(report, reply, sentAt); });
+        });
+    }
+
+    void receive(const slot_report &report, const slot_reply &reply, steady_time sentAt)
+    {
+        const auto item = std::ranges::find(m_holders, report.instance, &holder::name);
+        if (!item->isUp || item->incarnation != report.incarnation || item->isCutOff)
+            return;
+        for (slot_lease &lease : item->leases)
+            lease.observeTerm(reply.term);
+        for (const pool_grant &grant : reply.grants) {
+            const auto pool = std::ranges::find(m_pools, grant.upstream, &slot_pool::upstream);
+            item->leases[static_cast<std::size_t>(pool - m_pools.begin())].apply(grant.grant,
+                                                                                 sentAt);
+        }
+    }
+
+    std::string check() const
+    {
+        std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> regions;
+        for (std::size_t i = 0; i < m_pools.size(); ++i) {
+            if (m_inFlight[i].size() > m_pools[i].slots)
+                return fmt::format("{} has {} requests in {} slots", m_pools[i].upstream,
+                                   m_inFlight[i].size(), m_pools[i].slots);
+            auto &[used, slots] = regions[m_pools[i].region];
+            used += static_cast<std::uint32_t>(m_inFlight[i].size());
+            slots += m_pools[i].slots;
+        }
+        for (const auto &[name, sums] : regions) {
+            // While the share changes, seats of the larger share may outlast the limit.
+            if (!m_options.changesShare
+                && sums.first > static_cast<std::uint32_t>(m_rules.regionLimit * sums.second))
+                return fmt::format("region {} has {} requests in {} slots", name, sums.first,
+                                   sums.second);
+        }
+        return {};
+    }
+
+    sim_options m_options;
+    std::mt19937_64 m_random;
+    milliseconds m_now{0};
+    slot_rules m_rules;
+    std::vector<slot_pool> m_pools;
+    std::vector<bool> m_isDrained;
+    std::map<std::string, std::uint32_t> m_positions;
+    std::vector<slot_member> m_members;
+    std::vector<holder> m_holders;
+    std::vector<leader> m_leaders;
+    std::vector<message> m_messages;
+    std::vector<std::vector<milliseconds>> m_inFlight; // end times of what really runs, by pool
+    std::uint64_t m_term = 0;
+    std::uint64_t m_started = 0;
+    milliseconds m_nextElection{0};
+    milliseconds m_quorumBackAt{0};
+};
+
+// One leader and well-behaved holders, for tests of distribution.
+struct calm_cluster
+{
+    explicit calm_cluster(std::vector<slot_pool> upstreams, std::vector<slot_member> instances,
+                          slot_rules rules = {})
+        : pools(std::move(upstreams))
+        , members(std::move(instances))
+        , allocator({1, {{"r0", 2}, {"r1", 2}}, true}, pools, {{service, rules}}, now)
+    {
+        allocator.setMembers(members, now);
+        for (const slot_member &member : members) {
+            leases[member.instance].resize(pools.size());
+            demand[member.instance] = 0;
+        }
+        periods(10); // past the wait after a first report
+    }
+
+    void periods(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            now += 1s;
+            allocator.advance(now);
+            for (const slot_member &member : members) {
+                slot_report report{member.instance, 1, {}, {{service, demand[member.instance]}}};
+                std::uint32_t left = demand[member.instance];
+                auto &held = leases[member.instance];
+                for (std::size_t k = 0; k < pools.size(); ++k) {
+                    const std::uint32_t used = std::min(left, held[k].allowed(now));
+                    left -= used;
+                    report.pools.push_back(
+                        {service, pools[k].upstream, held[k].allowed(now), used, held[k].epoch()});
+                }
+                const slot_reply reply = allocator.report(report, now);
+                for (slot_lease &lease : held)
+                    lease.observeTerm(reply.term);
+                for (const pool_grant &grant : reply.grants) {
+                    const auto pool
+                        = std::ranges::find(pools, grant.upstream, &slot_pool::upstream);
+                    held[static_cast<std::size_t>(pool - pools.begin())].apply(grant.grant, now);
+                }
+            }
+        }
+    }
+
+    std::uint32_t held(const std::string &instance, const std::string &region = {})
+    {
+        std::uint32_t sum = 0;
+        for (std::size_t k = 0; k < pools.size(); ++k) {
+            if (region.empty() || pools[k].region == region)
+                sum += leases[instance][k].allowed(now);
+        }
+        return sum;
+    }
+
+    steady_time now{100s};
+    std::vector<slot_pool> pools;
+    std::vector<slot_member> members;
+    slot_allocator allocator;
+    std::map<std::string, std::vector<slot_lease>> leases;
+    std::map<std::string, std::uint32_t> demand;
+};
+
+std::vector<slot_pool> twoRegions(std::uint32_t slots)
+{
+    std::vector<slot_pool> pools;
+    for (int i = 0; i < 10; ++i)
+        pools.push_back({service, fmt::format("u{}", i), fmt::format("r{}", i / 5),
+                         fmt::format("r{}{}", i / 5, i % 2), slots});
+    return pools;
+}
+
+const std::vector<slot_member> fourMembers
+    = {{"a", "r0", "r00", 0}, {"b", "r0", "r01", 1}, {"c", "r1", "r10", 0}, {"d", "r1", "r11", 1}};
+
+} // namespace
+
+class slot_allocator_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(slot_allocator_test);
+    CPPUNIT_TEST(neverExceedsSlotsUnderFaults);
+    CPPUNIT_TEST(keepsRegionLimitUnderFaults);
+    CPPUNIT_TEST(givesLoneBusyInstanceMostSlots);
+    CPPUNIT_TEST(prefersNearUpstreams);
+    CPPUNIT_TEST(sharesFairlyWhenDemandExceedsSlots);
+    CPPUNIT_TEST(drainTakesAllSlotsBack);
+    CPPUNIT_TEST(rampsUpStartedUpstream);
+    CPPUNIT_TEST(leaseFallsBackToReservedSlots);
+    CPPUNIT_TEST(rejectsMalformedSettings);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against any path that lets two holders use one slot: lost, repeated or late messages,
+    // crashes, partitions, changes of leader, changes of the reserved share, drifting clocks.
+    void neverExceedsSlotsUnderFaults()
+    {
+        std::uint64_t started = 0;
+        for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+            slot_simulation simulation({seed});
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
+            started += simulation.started();
+        }
+        // The histories must do real work, or the check above says nothing.
+        CPPUNIT_ASSERT(started > 150 * 1000);
+    }
+
+    // Guards against a region that is granted more than its limit while leaders change.
+    void keepsRegionLimitUnderFaults()
+    {
+        for (std::uint64_t seed = 1001; seed <= 1060; ++seed) {
+            slot_simulation simulation({seed, 150s, true, false});
+            CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
+        }
+    }
+
+    // Guards against slots that stay idle elsewhere while one instance is busy.
+    void givesLoneBusyInstanceMostSlots()
+    {
+        calm_cluster cluster(twoRegions(8), fourMembers);
+        cluster.demand["a"] = 100;
+        cluster.periods(6);
+        // 80 slots, 72 within the region limits, 20 of them reserved for others.
+        CPPUNIT_ASSERT(cluster.held("a") >= 50);
+        cluster.demand["a"] = 0;
+        cluster.demand["d"] = 100;
+        cluster.periods(8);
+        CPPUNIT_ASSERT(cluster.held("d") >= 45);
+    }
+
+    // Guards against work that crosses regions although there are free slots nearby, also after
+    // the first holder of the near slots was a distant instance.
+    void prefersNearUpstreams()
+    {
+        calm_cluster cluster(twoRegions(8), fourMembers);
+        cluster.demand["a"] = 14;
+        cluster.demand["c"] = 14;
+        cluster.periods(10);
+        CPPUNIT_ASSERT(cluster.held("a") >= 14 && cluster.held("a", "r1") == 0);
+        cluster.demand["a"] = 60;
+        cluster.demand["c"] = 0;
+        cluster.periods(10);
+        CPPUNIT_ASSERT(cluster.held("a", "r1") > 0);
+        cluster.demand["a"] = 14;
+        cluster.demand["c"] = 14;
+        cluster.periods(20);
+        CPPUNIT_ASSERT_EQUAL(0U, cluster.held("a", "r1"));
+        CPPUNIT_ASSERT(cluster.held("c", "r1") >= 14);
+    }
+
+    // Guards against an early instance that keeps what a later one needs as much.
+    void sharesFairlyWhenDemandExceedsSlots()
+    {
+        calm_cluster cluster(twoRegions(8), fourMembers);
+        cluster.demand["a"] = 200;
+        cluster.periods(10);
+        for (auto &[name, demand] : cluster.demand)
+            demand = 200;
+        cluster.periods(20);
+        for (const slot_member &member : fourMembers)
+            CPPUNIT_ASSERT(cluster.held(member.instance) >= 14);
+    }
+
+    // Guards against new work on a drained upstream.
+    void drainTakesAllSlotsBack()
+    {
+        calm_cluster cluster(twoRegions(8), fourMembers);
+        for (auto &[name, demand] : cluster.demand)
+            demand = 40;
+        cluster.periods(10);
+        cluster.allocator.setDrained(service, "u0", true);
+        cluster.periods(2);
+        for (const slot_member &member : fourMembers)
+            CPPUNIT_ASSERT_EQUAL(0U, cluster.leases[member.instance][0].allowed(cluster.now));
+        cluster.allocator.setDrained(service, "u0", false);
+        cluster.periods(10);
+        std::uint32_t granted = 0;
+        for (const slot_member &member : fourMembers)
+            granted += cluster.leases[member.instance][0].allowed(cluster.now);
+        CPPUNIT_ASSERT(granted > 2);
+    }
+
+    // Guards against a cold upstream that is given its full load at once.
+    void rampsUpStartedUpstream()
+    {
+        calm_cluster cluster(twoRegions(8), fourMembers);
+        for (auto &[name, demand] : cluster.demand)
+            demand = 100;
+        cluster.periods(10);
+        cluster.allocator.upstreamStarted(service, "u3", cluster.now);
+        const steady_time start = cluster.now;
+        cluster.periods(2);
+        for (; cluster.now < start + 40s; cluster.periods(1)) {
+            std::uint32_t granted = 0;
+            for (const slot_member &member : fourMembers)
+                granted += cluster.leases[member.instance][3].allowed(cluster.now);
+            const double progress
+                = std::min(1.0, std::chrono::duration<double>(cluster.now - start).count() / 30);
+            CPPUNIT_ASSERT(granted <= 1 + 7 * progress + 1e-9);
+        }
+        CPPUNIT_ASSERT(cluster.allocator.status(service, "u3").capacity == 8);
+    }
+
+    // Guards against slots used after a lease, and against a lapsed lease that a proof or a late
+    // reply brings back.
+    void leaseFallsBackToReservedSlots()
+    {
+        const steady_time start(100s);
+        slot_lease lease;
+        CPPUNIT_ASSERT(lease.apply({5, 2, epochOfTerm(1) + 7}, start));
+        CPPUNIT_ASSERT_EQUAL(5U, lease.allowed(start + 9999ms));
+        CPPUNIT_ASSERT_EQUAL(2U, lease.allowed(start + 10s));
+        CPPUNIT_ASSERT(!lease.apply({6, 2, epochOfTerm(1) + 6}, start + 1s));
+        lease.renewByProof(start + 9s, start + 9s);
+        CPPUNIT_ASSERT_EQUAL(5U, lease.allowed(start + 11999ms));
+        lease.renewByProof(start + 12s, start + 12s);
+        CPPUNIT_ASSERT_EQUAL(2U, lease.allowed(start + 12s));
+        lease.observeTerm(2);
+        CPPUNIT_ASSERT(!lease.apply({6, 2, epochOfTerm(1) + 8}, start + 13s));
+        CPPUNIT_ASSERT(lease.apply({3, 2, epochOfTerm(2) + 1}, start + 13s));
+        CPPUNIT_ASSERT_EQUAL(3U, lease.allowed(start + 14s));
+    }
+
+    void rejectsMalformedSettings()
+    {
+        CPPUNIT_ASSERT_THROW(
+            slot_allocator({}, {{service, "u", "r", "f", 1}, {service, "u", "r", "f", 1}}, {}, {}),
+            steering_error);
+        slot_allocator_settings settings;
+        settings.term = maxEpochTerm + 1;
+        CPPUNIT_ASSERT_THROW(slot_allocator(settings, {}, {}, {}), steering_error);
+        slot_allocator allocator({}, {{service, "u", "r", "f", 1}}, {}, {});
+        CPPUNIT_ASSERT(!allocator.report({"stranger", 1, {}, {}}, {}).isAccepted);
+        CPPUNIT_ASSERT_THROW(allocator.setDrained(service, "v", true), steering_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(slot_allocator_test);
