--- a/src/steering/slot_allocator.cc
+++ b/src/steering/slot_allocator.cc
@@ -429,6 +429,8 @@
         if (pool.epoch >= changed.loweredEpoch)
             changed.committed
                 = std::min(changed.committed, std::max(changed.target, pool.inFlight));
+        // Never needed if the holder keeps to the protocol; a late report may cause it, and the
+        // next one corrects it.
         changed.committed = std::max(changed.committed, pool.inFlight);
         change(item, found->second, changed);
     }
@@ -478,8 +480,11 @@
     if (pool.activeSeats + pool.targetBeyondActive >= pool.capacity
         || region.granted >= region.limit)
         return false;
+    // Already charged, but a report that arrived late may have raised the charge above a limit.
     if (target <= cell.committed)
-        return pool.charged() <= pool.spec.slots;
+        return pool.charged() <= pool.spec.slots
+            && pool.activeSeats + pool.chargedBeyondActive <= pool.capacity
+            && region.charged <= region.limit;
     const std::uint32_t charge = cell.committed + cell.retired;
     const bool needsSlot = charge + 1 > cell.seats;
     return pool.charged() + (needsSlot ? 1 : 0) <= pool.spec.slots
