--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -164,6 +164,7 @@
         return member;
     };
     std::vector<std::future<control_view::member>> pending;
+    pending.reserve(addresses.size());
     for (const std::string &address : addresses)
         pending.push_back(std::async(std::launch::async, ask, address));
     control_view view;
--- a/src/cli/output.cc
+++ b/src/cli/output.cc
@@ -74,7 +74,7 @@
     if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
         std::string text;
         for (const auto &[key, inner] : *value.extract<Poco::JSON::Object::Ptr>())
-            text += formatPaths(inner, path.empty() ? key : path + "." + key);
+            text += formatPaths(inner, path.empty() ? key : fmt::format("{}.{}", path, key));
         return text;
     }
     if (value.type() == typeid(Poco::JSON::Array::Ptr)) {
