Fit the command line to the control instances' answers

The merged control role takes drain times as Unix milliseconds, stamps the start itself when none is given, names a drain 'drain_id', and answers 504 when an edit's outcome is unknown. An edit is now sent again after a 504, with its request id.

--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -30,6 +30,7 @@
 constexpr std::size_t maxHeaderBytes = 1024;
 constexpr int statusMisdirected = 421;
 constexpr int statusUnavailable = 503;
+constexpr int statusUnknown = 504; // of an edit: it may have been accepted
 
 constexpr std::string_view advice
     = "What to do next: check that the control instances run ('/healthz' on the addresses above), "
@@ -113,12 +114,13 @@
             try {
                 http_reply reply = callHttp(address, method, path, headers, body,
                                             std::min(left, attemptTimeout));
-                if (reply.status != statusMisdirected && reply.status != statusUnavailable)
+                if (reply.status != statusMisdirected && reply.status != statusUnavailable
+                    && reply.status != statusUnknown)
                     return reply;
                 const std::string leader = reply.headers.get("Leader", "");
-                failures[address] = reply.status == statusUnavailable ? "unavailable: " + reply.body
-                    : leader.empty()                                  ? "knows no leader"
-                                     : "not the leader; it names " + leader;
+                failures[address] = leader.empty()
+                    ? fmt::format("answered {}: {}", reply.status, reply.body)
+                    : "not the leader; it names " + leader;
                 if (!leader.empty())
                     next.push_front(leader);
             } catch (const http_call_error &failure) {
--- a/src/cli/admin_client.h
+++ b/src/cli/admin_client.h
@@ -25,8 +25,8 @@
 edit_headers editHeadersFromFlags();
 
 // Sends requests to the control instances: tries the next one when one can't be reached, follows
-// 421 to the leader, and tries again while there is no leader. Edits carry a request id, so sending
-// one again never applies it twice.
+// 421 to the leader, and tries again while there is no leader or the outcome is unknown. Edits
+// carry a request id, so sending one again never applies it twice.
 class admin_client
 {
 public:
@@ -34,7 +34,7 @@
     admin_client(std::vector<std::string> addresses, std::chrono::milliseconds timeout);
 
     // Throws unreachable_error, with what to do next, if no instance gives a final answer. The
-    // answer can have any status except 421 and 503.
+    // answer can have any status except 421, 503 and 504.
     http_reply get(const std::string &path);
     http_reply edit(const std::string &method, const std::string &path, const edit_headers &headers,
                     const std::string &body);
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <exception>
 
 namespace buckthorngrade {
 
@@ -98,7 +99,7 @@
     return exit_ok;
 }
 
-int report(const error &failure, exit_code code)
+int report(const std::exception &failure, exit_code code)
 {
     fmt::print(stderr, "buckthorngrade: {}\n", failure.what());
     return code;
@@ -141,7 +142,7 @@
         return report(failure, exit_unreachable);
     } catch (const not_found_error &failure) {
         return report(failure, exit_not_found);
-    } catch (const error &failure) {
+    } catch (const std::exception &failure) {
         return report(failure, exit_rejected);
     }
 }
--- a/src/cli/edit_result.cc
+++ b/src/cli/edit_result.cc
@@ -21,9 +21,9 @@
 {
     const std::string status = fieldText(outcome, "status");
     std::string line = status;
-    for (const std::string key : {"id", "version", "revision"})
-        if (outcome.has(key))
-            line += fmt::format(" {}={}", key, fieldText(outcome, key));
+    for (const std::string key : {"drain_id", "version", "revision"})
+        if (const std::string value = fieldText(outcome, key); value != "-" && value != "0")
+            line += fmt::format(" {}={}", key, value);
     if (outcome.optValue("repeated", false))
         line += " (outcome of an earlier attempt with this request id)";
     fmt::print("{}\n", line);
--- a/src/cli/run.h
+++ b/src/cli/run.h
@@ -6,7 +6,9 @@
 
 // One function for each command; see the table in commands.cc.
 int runCheck(const command_arguments &arguments);
+int runControlProcess(const command_arguments &arguments);
 int runDrain(const command_arguments &arguments);
+int runEntryProcess(const command_arguments &arguments);
 int runEvents(const command_arguments &arguments);
 int runExplain(const command_arguments &arguments);
 int runLookup(const command_arguments &arguments);
--- a/src/cli/run_drain.cc
+++ b/src/cli/run_drain.cc
@@ -14,7 +14,9 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-DEFINE_string(start, "", "start of the drain in UTC, 2026-12-04T07:00:00Z; now if not given");
+#include <optional>
+
+DEFINE_string(start, "", "start of the drain in UTC, 2026-12-04T07:00:00Z; at once if not given");
 DEFINE_string(end, "", "end of the drain in UTC; until cancelled if not given");
 DEFINE_string(for, "", "duration of the drain, for example 2h; instead of --end");
 
@@ -31,6 +33,11 @@
     return *time;
 }
 
+std::int64_t unixMs(wall_time time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
 int listDrains()
 {
     const http_reply reply = admin_client(controlAddresses(), timeoutFlag()).get("/v1/drains");
@@ -50,26 +57,30 @@
     } catch (const settings_error &failure) {
         throw usage_error(failure.what());
     }
-    // A second attempt with the same request id must have the same content, so it can't depend on
-    // the time at which it is sent.
-    if (!FLAGS_request_id.empty() && FLAGS_start.empty())
-        throw usage_error("with --request_id, repeat the --start of the first attempt");
+    // A second attempt with the same request id must have the same content.
+    if (!FLAGS_request_id.empty() && !FLAGS_for.empty())
+        throw usage_error("with --request_id, give the --end that the first attempt printed");
     if (!FLAGS_for.empty() && !FLAGS_end.empty())
         throw usage_error("--for and --end exclude each other");
-    const wall_time start
-        = FLAGS_start.empty() ? std::chrono::system_clock::now() : timeOfFlag("start", FLAGS_start);
+    std::optional<wall_time> start;
+    std::optional<wall_time> end;
+    if (!FLAGS_start.empty())
+        start = timeOfFlag("start", FLAGS_start);
+    if (!FLAGS_for.empty())
+        end = start.value_or(std::chrono::system_clock::now()) + durationOfFlag("for", FLAGS_for);
+    else if (!FLAGS_end.empty())
+        end = timeOfFlag("end", FLAGS_end);
     Poco::JSON::Object content;
     content.set("kind", kind);
     content.set("target", target);
-    content.set("start", formatUtcTime(start));
-    if (!FLAGS_for.empty())
-        content.set("end", formatUtcTime(start + durationOfFlag("for", FLAGS_for)));
-    else if (!FLAGS_end.empty())
-        content.set("end", formatUtcTime(timeOfFlag("end", FLAGS_end)));
+    if (start)
+        content.set("start", unixMs(*start));
+    if (end)
+        content.set("end", unixMs(*end));
     const auto addresses = controlAddresses();
     const edit_headers headers = editHeadersFromFlags();
-    if (FLAGS_start.empty())
-        fmt::print(stderr, "start {}\n", formatUtcTime(start));
+    if (end)
+        fmt::print(stderr, "end {}\n", formatUtcTime(*end));
     const http_reply reply = admin_client(addresses, timeoutFlag())
                                  .edit("POST", "/v1/drains", headers, formatJson(content));
     return finishEdit(reply, addresses);
--- a/tests/cli/admin_test.cc
+++ b/tests/cli/admin_test.cc
@@ -92,13 +92,15 @@
                 return std::string(); // the response is lost
             if (ids.size() == 2)
                 return formatAnswer(503, "", "no leader", false);
+            if (ids.size() == 3)
+                return formatAnswer(504, "", "unknown", false);
             return jsonAnswer(200,
                               R"({"status":"accepted","version":1,"revision":3,"repeated":true})");
         });
         const process_result result = set(control.address(), {"--base_version=0"});
         CPPUNIT_ASSERT_EQUAL(int(exit_ok), result.code);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(3), ids.size());
-        CPPUNIT_ASSERT(ids[0] == ids[1] && ids[1] == ids[2]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), ids.size());
+        CPPUNIT_ASSERT(ids[0] == ids[1] && ids[1] == ids[2] && ids[2] == ids[3]);
         // EPOCHMS-RANDOM, shown to the operator before anything is sent.
         CPPUNIT_ASSERT_EQUAL(std::size_t(13), ids[0].find('-'));
         assertContains(result.errors, "request id " + ids[0]);
@@ -209,7 +211,8 @@
                                   R"("start":"s","end":"","operator":"anna","reason":"work"}]})");
             const std::lock_guard lock(mutex);
             seen += fmt::format("{} {} {}\n", request.getMethod(), request.getURI(), body);
-            return jsonAnswer(200, R"({"status":"accepted","id":"d1","revision":4})");
+            return jsonAnswer(200,
+                              R"({"status":"accepted","drain_id":"d1","version":0,"revision":4})");
         });
         const auto run = [&](std::vector<std::string> words) {
             words.insert(words.end(), {"--control", control.address()});
@@ -220,15 +223,15 @@
             = {"drain",   "announce", "region", "wellington", "--start=2026-12-04T07:00:00Z",
                "--for=2h"};
         announce.insert(announce.end(), author.begin(), author.end());
-        CPPUNIT_ASSERT_EQUAL(std::string("accepted id=d1 revision=4\n"), run(announce).output);
+        CPPUNIT_ASSERT_EQUAL(std::string("accepted drain_id=d1 revision=4\n"),
+                             run(announce).output);
         std::vector<std::string> cancel = {"drain", "cancel", "d1"};
         cancel.insert(cancel.end(), author.begin(), author.end());
         CPPUNIT_ASSERT_EQUAL(int(exit_ok), run(cancel).code);
-        CPPUNIT_ASSERT_EQUAL(
-            std::string(R"(POST /v1/drains {"end":"2026-12-04T09:00:00.000Z","kind":"region",)"
-                        R"("start":"2026-12-04T07:00:00.000Z","target":"wellington"})"
-                        "\nDELETE /v1/drains/d1 \n"),
-            seen);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"(POST /v1/drains {"end":1796374800000,"kind":"region",)"
+                                         R"("start":1796367600000,"target":"wellington"})"
+                                         "\nDELETE /v1/drains/d1 \n"),
+                             seen);
         assertContains(run({"drain", "list"}).output, "d1  region  wellington  s      -    anna");
         announce[2] = "planet";
         CPPUNIT_ASSERT_EQUAL(int(exit_usage), run(announce).code);
--- a/tests/cli/command_test.cc
+++ b/tests/cli/command_test.cc
@@ -42,6 +42,8 @@
                {"status", "--control=127.0.0.1:1", "--wait"},
                {"status", "--control=127.0.0.1:1", "--output=xml"},
                {"status", "--control=127.0.0.1:1", "--timeout=5"},
+               {"control"},
+               {"entry", "extra", "--config=x"},
                {"status", "extra", "--control=127.0.0.1:1"},
                {"profile", "list", "--control=127.0.0.1:1", "--wait=perhaps"},
                {"profile", "drop", "x"},
