--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -24,6 +24,8 @@
 const std::vector<command> &commandTable()
 {
     static const std::vector<command> table = {
+        {"control", "", "run a control instance", {"config", "initialize"}, runControlProcess},
+        {"entry", "", "run an entry instance", {"config"}, runEntryProcess},
         {"check",
          "[PROFILE-FILE ...]",
          "check a process's settings and profile files",
