--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -63,7 +63,7 @@
             .body = body};
 }
 
-// Path of a program that was built, next to the running test. The macro is set for tests only.
+// All programs are built into one folder. BG_BINARY_DIR names it, but only for tests.
 std::filesystem::path builtProgram(const std::string &name)
 {
     return std::filesystem::read_symlink("/proc/self/exe").parent_path() / name;
@@ -202,6 +202,16 @@
             throw error(fmt::format("profile {} was not accepted: {} {}", name, response.status,
                                     response.body));
     }
+    const auto allLive = [this] {
+        const auto status = leaderStatus();
+        const auto instances = status ? status->getArray("instances") : nullptr;
+        std::size_t live = 0;
+        for (std::size_t i = 0; instances && i < instances->size(); ++i)
+            live += instances->getObject(static_cast<unsigned>(i))->getValue<std::string>("state")
+                == "live";
+        return live == m_entries.size();
+    };
+    waitUntil("all entry instances are live", allLive);
     for (const std::string &name : m_entries)
         waitReady(name);
 }
@@ -415,8 +425,10 @@
 
 void deployment::waitReady(const std::string &name) const
 {
-    waitUntil(name + " is ready",
-              [&] { return exchange(address(name), {.path = "/readyz"}).status == statusOk; });
+    waitUntil(name + " is ready", [&] {
+        return exchange(address(name), {.path = "/readyz"}).status == statusOk
+            && lookup(name, std::string(serviceNames.front())).status == statusOk;
+    });
 }
 
 void deployment::waitInForce(std::uint64_t revision) const
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -51,7 +51,8 @@
     deployment(const deployment &) = delete;
     deployment &operator=(const deployment &) = delete;
 
-    // Starts everything, creates both profiles and waits until all entry instances are ready.
+    // Starts everything, creates both profiles and waits until every entry instance is ready and
+    // answers lookups.
     void startAll();
     void start(const std::string &name);
     // SIGTERM, then waits for the end. Returns the exit code, or minus a signal.
@@ -99,6 +100,7 @@
     // Name of the leader; empty if there is none.
     std::string leader() const;
     void waitForLeader() const;
+    // Until the entry instance is ready and answers lookups.
     void waitReady(const std::string &name) const;
     // Until every entry instance that is not dead or removed reports `revision` to the leader.
     void waitInForce(std::uint64_t revision) const;
