--- a/src/cli/common_flags.h
+++ b/src/cli/common_flags.h
@@ -22,6 +22,8 @@
 // The control instances' HTTP addresses from --control or --config. Throws usage_error if neither
 // is given and settings_error if the settings file is faulty.
 std::vector<std::string> controlAddresses();
+// The file named by --config. Throws usage_error if there is none.
+const std::string &requiredConfig();
 std::chrono::milliseconds timeoutFlag();
 // True for --output=json. Throws usage_error for an unknown form.
 bool wantsJson();
--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -17,7 +17,7 @@
 {
     requireArguments(arguments, 0, "");
     blockStopSignals();
-    const settings loaded = loadSettings(FLAGS_config);
+    const settings loaded = loadSettings(requiredConfig());
     if (!loaded.hasControl)
         throw settings_error(fmt::format("{}: has no control section", FLAGS_config));
     const system_clock_source clock;
--- a/src/cli/run_entry.cc
+++ b/src/cli/run_entry.cc
@@ -13,7 +13,7 @@
 {
     requireArguments(arguments, 0, "");
     blockStopSignals();
-    const settings loaded = loadSettings(FLAGS_config);
+    const settings loaded = loadSettings(requiredConfig());
     if (!loaded.hasEntry)
         throw settings_error(fmt::format("{}: has no entry section", FLAGS_config));
     const system_clock_source clock;
