Run control instances on the replicated log

The control role ran on the single-instance replicator. It now opens a replica in the data folder, exchanges messages with the other members over gRPC, and ends with an event and exit code 1 when the folder is damaged or the replica stops.

--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -1,15 +1,63 @@
 #include "cli/run_control.h"
 
-#include "agreement/local_replicator.h"
+#include "agreement/posix_file_system.h"
+#include "agreement/replica.h"
 #include "base/error.h"
 #include "cli/signals.h"
 #include "control/control_instance.h"
+#include "control/peer_link.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <future>
+#include <iterator>
+#include <memory>
+
 namespace buckthorngrade {
 
-int runControl(const std::filesystem::path &config, bool /*initialize*/)
+namespace {
+
+replica_settings replicaSettings(const settings &config, bool initialize)
+{
+    replica_settings result;
+    result.cluster = config.cluster;
+    result.self = config.control.id;
+    std::ranges::transform(config.members, std::back_inserter(result.members), &control_member::id);
+    result.folder = config.control.dataFolder;
+    result.initialize = initialize;
+    return result;
+}
+
+peer_link::settings linkSettings(const settings &config)
+{
+    peer_link::settings result;
+    result.cluster = config.cluster;
+    result.self = config.control.id;
+    for (const control_member &member : config.members)
+        result.addresses[member.id] = member.grpcAddress;
+    return result;
+}
+
+std::unique_ptr<replica> openReplica(const settings &config, bool initialize, file_system &files,
+                                     control_state &state, peer_transport &link,
+                                     const clock_source &clock, event_log &events,
+                                     metric_registry &metrics)
+{
+    try {
+        return std::make_unique<replica>(replicaSettings(config, initialize), files, state, link,
+                                         clock, events, metrics);
+    } catch (const storage_corruption &failure) {
+        events.write(
+            event_id::data_folder_corrupt,
+            {{"folder", config.control.dataFolder.string()}, {"reason", failure.what()}});
+        throw;
+    }
+}
+
+} // namespace
+
+int runControl(const std::filesystem::path &config, bool initialize)
 {
     blockStopSignals();
     const settings loaded = loadSettings(config);
@@ -22,11 +70,35 @@
     control_state state;
     feed_hub hub;
     state.setListener(&hub);
-    local_replicator log(state);
-    const control_instance instance(loaded, log, state, hub, clock, events, metrics, tracer);
-    events.write(event_id::process_started, {{"role", "control"}, {"version", BG_VERSION}});
-    const int number = waitForStopSignal();
-    events.write(event_id::process_stopping, {{"signal", number}});
+    posix_file_system files;
+    std::promise<std::string> failure;
+    std::future<std::string> failed = failure.get_future();
+    peer_link link(linkSettings(loaded), events, metrics);
+    const auto log
+        = openReplica(loaded, initialize, files, state, link, clock, events, metrics);
+    peer_link_service deliver(
+        loaded.cluster, loaded.control.id,
+        [&log](std::string bytes) { log->receive(std::move(bytes)); }, events);
+    {
+        const control_instance instance(loaded, *log, state, hub, clock, events, metrics, tracer,
+                                        {&deliver});
+        log->start([&failure](const std::string &what) {
+            failure.set_value(what);
+            requestStop();
+        });
+        events.write(event_id::process_started, {{"role", "control"}, {"version", BG_VERSION}});
+        const int number = waitForStopSignal();
+        events.write(event_id::process_stopping, {{"signal", number}});
+        // Requests that wait are answered before the servers stop.
+        log->stop();
+        link.stop();
+    }
+    if (failed.wait_for(std::chrono::seconds(0)) == std::future_status::ready) {
+        const std::string what = failed.get();
+        events.write(event_id::replica_stopped, {{"reason", what}});
+        throw control_error("the replicated log stopped: " + what);
+    }
+    events.write(event_id::process_stopped);
     return 0;
 }
 
--- a/src/cli/signals.cc
+++ b/src/cli/signals.cc
@@ -2,6 +2,8 @@
 
 #include <csignal>
 
+#include <unistd.h>
+
 namespace buckthorngrade {
 
 namespace {
@@ -32,4 +34,9 @@
     return number;
 }
 
+void requestStop()
+{
+    ::kill(::getpid(), SIGTERM);
+}
+
 } // namespace buckthorngrade
--- a/src/cli/signals.h
+++ b/src/cli/signals.h
@@ -6,5 +6,7 @@
 void blockStopSignals();
 // Waits for SIGTERM or SIGINT and returns its number.
 int waitForStopSignal();
+// Makes waitForStopSignal() return, as if an operator had stopped the process. Thread-safe.
+void requestStop();
 
 } // namespace buckthorngrade
--- a/src/control/control_instance.h
+++ b/src/control/control_instance.h
@@ -20,6 +20,7 @@
 #include <grpcpp/server.h>
 
 #include <memory>
+#include <vector>
 
 namespace buckthorngrade {
 
@@ -27,10 +28,12 @@
 class control_instance
 {
 public:
-    // All references must outlive this. `log` must drive `state`.
+    // All references must outlive this. `log` must drive `state`. `moreServices` are served on the
+    // same gRPC address. Throws control_error if an address can't be bound.
     control_instance(const settings &config, replicator &log, control_state &state, feed_hub &hub,
                      const clock_source &clock, event_log &events, metric_registry &metrics,
-                     const json_tracer &tracer);
+                     const json_tracer &tracer,
+                     const std::vector<grpc::Service *> &moreServices = {});
     ~control_instance();
     control_instance(const control_instance &) = delete;
     control_instance &operator=(const control_instance &) = delete;
