--- /dev/null
+++ b/tests/control/peer_link_test.cc
@@ -0,0 +1,175 @@
+#include "control/peer_link.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto patience = 60s;
+
+bool waitFor(const std::function<bool()> &condition)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > until)
+            return false;
+        std::this_thread::sleep_for(2ms);
+    }
+    return true;
+}
+
+// A server with the receiving side of a link.
+class receiving_end
+{
+public:
+    // Port 0 lets the system choose.
+    receiving_end(replica_id self, int port)
+        : m_service(
+            "c", self, [this](std::string bytes) { add(std::move(bytes)); }, m_events)
+    {
+        grpc::ServerBuilder builder;
+        builder.SetMaxReceiveMessageSize(maxPeerMessageBytes);
+        builder.AddListeningPort(fmt::format("127.0.0.1:{}", port),
+                                 grpc::InsecureServerCredentials(), &m_port);
+        builder.RegisterService(&m_service);
+        m_server = builder.BuildAndStart();
+    }
+    ~receiving_end()
+    {
+        if (m_server)
+            m_server->Shutdown(std::chrono::system_clock::now());
+    }
+    receiving_end(const receiving_end &) = delete;
+    receiving_end &operator=(const receiving_end &) = delete;
+
+    bool isListening() const { return m_server && m_port != 0; }
+    int port() const { return m_port; }
+    bool has(const std::string &bytes)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_received.contains(bytes);
+    }
+    std::size_t count()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_received.size();
+    }
+
+private:
+    void add(std::string bytes)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_received.insert(std::move(bytes));
+    }
+
+    null_event_log m_events;
+    std::mutex m_mutex;
+    std::set<std::string> m_received;
+    peer_link_service m_service;
+    int m_port = 0;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+peer_link::settings settingsFor(const std::string &cluster, int port)
+{
+    peer_link::settings settings;
+    settings.cluster = cluster;
+    settings.self = 1;
+    settings.addresses = {{1, "127.0.0.1:1"}, {2, fmt::format("127.0.0.1:{}", port)}};
+    settings.firstDelay = 10ms;
+    settings.maxDelay = 50ms;
+    return settings;
+}
+
+} // namespace
+
+class peer_link_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(peer_link_test);
+    CPPUNIT_TEST(deliversAndBoundsMessages);
+    CPPUNIT_TEST(reconnectsAfterRestart);
+    CPPUNIT_TEST(rejectsOtherClusters);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against lost payloads on a working link, and against messages that the receiver would
+    // reject by ending the stream.
+    void deliversAndBoundsMessages()
+    {
+        receiving_end end(2, 0);
+        CPPUNIT_ASSERT(end.isListening());
+        peer_link link(settingsFor("c", end.port()), m_events, m_metrics);
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "first");
+            return end.has("first");
+        }));
+        const std::string large(3U << 20, 'x');
+        link.send(2, std::string(5U << 20, 'y'));
+        link.send(2, large);
+        link.send(7, "nobody");
+        CPPUNIT_ASSERT(waitFor([&] { return end.has(large); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), end.count());
+    }
+
+    // Guards against a sender that stays silent after its peer restarted.
+    void reconnectsAfterRestart()
+    {
+        auto end = std::make_unique<receiving_end>(2, 0);
+        const int port = end->port();
+        peer_link link(settingsFor("c", port), m_events, m_metrics);
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "before");
+            return end->has("before");
+        }));
+        end.reset();
+        CPPUNIT_ASSERT(waitFor([&] {
+            end = std::make_unique<receiving_end>(2, port);
+            return end->isListening();
+        }));
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "after");
+            return end->has("after");
+        }));
+    }
+
+    // Guards against mixing the logs of two clusters, or of two replicas, by a wrong address.
+    void rejectsOtherClusters()
+    {
+        receiving_end end(2, 0);
+        receiving_end misaddressed(3, 0);
+        peer_link foreign(settingsFor("other", end.port()), m_events, m_metrics);
+        peer_link wrong(settingsFor("c", misaddressed.port()), m_events, m_metrics);
+        peer_link right(settingsFor("c", end.port()), m_events, m_metrics);
+        for (int i = 0; i < 100; ++i) {
+            foreign.send(2, "foreign");
+            wrong.send(2, "wrong");
+        }
+        CPPUNIT_ASSERT(waitFor([&] {
+            foreign.send(2, "foreign");
+            wrong.send(2, "wrong");
+            right.send(2, "right");
+            return end.has("right");
+        }));
+        CPPUNIT_ASSERT(!end.has("foreign"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), misaddressed.count());
+    }
+
+private:
+    null_event_log m_events;
+    metric_registry m_metrics;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_link_test);
