Check in random histories that every promise is on the sender's disk

A core that does not store a vote, or that sends entries before its vote for itself is stored, went unnoticed because its effect needs a rare sequence.

--- a/src/agreement/consensus_core.cc
+++ b/src/agreement/consensus_core.cc
@@ -591,12 +591,8 @@
         return;
     if (!m_incoming || m_incoming->snapshot.index != chunk.index()
         || m_incoming->checksum != chunk.checksum() || m_incoming->total != chunk.total()) {
-        m_incoming.emplace();
-        m_incoming->snapshot.index = chunk.index();
-        m_incoming->snapshot.term = chunk.term();
-        m_incoming->snapshot.members = chunk.members();
-        m_incoming->total = chunk.total();
-        m_incoming->checksum = chunk.checksum();
+        m_incoming = incoming_snapshot{
+            {chunk.index(), chunk.term(), chunk.members(), {}}, chunk.total(), chunk.checksum()};
     }
     std::string &data = m_incoming->snapshot.data;
     if (chunk.offset() == data.size() && data.size() + chunk.data().size() <= chunk.total())
--- a/src/agreement/consensus_core.h
+++ b/src/agreement/consensus_core.h
@@ -215,8 +215,8 @@
     struct incoming_snapshot
     {
         log_snapshot snapshot;
-        std::uint64_t total = 0;
-        std::uint64_t checksum = 0;
+        std::uint64_t total;
+        std::uint64_t checksum;
     };
 
     const wire::log_member *findMember(replica_id id) const;
--- a/tests/agreement/history.cc
+++ b/tests/agreement/history.cc
@@ -315,6 +315,9 @@
     for (core_output output = n.core->takeOutput(); !output.isEmpty();
          output = n.core->takeOutput()) {
         checkEntries(n, output);
+        if (output.hard && !output.unsynced.empty())
+            fail(
+                fmt::format("replica {} sends entries before its vote for itself is stored", n.id));
         for (const wire::peer_message &message : output.unsynced)
             send(message);
         if (output.needsSync()) {
@@ -325,7 +328,7 @@
             }
             n.core->persisted();
         }
-        checkVotes(output);
+        checkPromises(n, output);
         for (const wire::peer_message &message : output.messages)
             send(message);
         applyOutput(n, output);
@@ -456,12 +459,22 @@
     }
 }
 
-void history::checkVotes(const core_output &output)
+// Whatever a message promises must be on the sender's disk.
+void history::checkPromises(const node &n, const core_output &output)
 {
     for (const wire::peer_message &message : output.messages) {
-        if (message.body_case() != wire::peer_message::kVote || !message.vote().granted()
-            || message.vote().pre_vote())
+        const bool isAcknowledgement = message.body_case() == wire::peer_message::kAppended;
+        const bool isVote = message.body_case() == wire::peer_message::kVote
+            && message.vote().granted() && !message.vote().pre_vote();
+        if ((isAcknowledgement || isVote) && n.stored.hard.term < message.term())
+            fail(fmt::format("replica {} answered in a term that it has not stored", n.id));
+        if (isAcknowledgement && message.appended().match() > n.stored.lastIndex())
+            fail(fmt::format("replica {} acknowledged {} with {} on its disk", n.id,
+                             message.appended().match(), n.stored.lastIndex()));
+        if (!isVote)
             continue;
+        if (n.stored.hard != hard_state{message.term(), message.to(), message.to_incarnation()})
+            fail(fmt::format("replica {} sent a vote that it has not stored", n.id));
         if (!m_voters.contains(message.from_incarnation()))
             fail(fmt::format("replica {} voted before its promotion", message.from()));
         m_grants[{message.term(), message.to(), message.to_incarnation()}].insert(
--- a/tests/agreement/history.h
+++ b/tests/agreement/history.h
@@ -26,11 +26,12 @@
 // Drives several cores through a random history of failures that depends only on the seed, and
 // checks the protocol's rules after each step:
 // one leader a term; equal logs up to any common entry; an entry is committed only when a majority
-// of the voters has it on disk; committed entries are never lost or changed; every replica applies
-// the same sequence; confirmed reads see all earlier commits; a replica with an emptied disk
-// neither votes nor is counted before its promotion, which happens only after it synced what was
-// committed when the repair was confirmed. At the end all failures stop, and the group must work
-// again if a majority of the voters still has its disk.
+// of the voters has it on disk; votes and acknowledgements are on the sender's disk; committed
+// entries are never lost or changed; every replica applies the same sequence; confirmed reads see
+// all earlier commits; a replica with an emptied disk neither votes nor is counted before its
+// promotion, which happens only after it synced what was committed when the repair was confirmed.
+// At the end all failures stop, and the group must work again if a majority of the voters still has
+// its disk.
 class history
 {
 public:
@@ -118,7 +119,7 @@
 
     void checkEntries(const node &n, const core_output &output);
     void checkMembershipEntry(const node &n, const wire::log_entry &entry);
-    void checkVotes(const core_output &output);
+    void checkPromises(const node &n, const core_output &output);
     void checkRole(node &n);
     void checkCommit(node &n);
     void checkQuorumStored(const node &leader, log_index index, std::uint64_t term);
