--- a/bench/bench_agreement.cc
+++ b/bench/bench_agreement.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <deque>
 #include <filesystem>
 #include <future>
 #include <memory>
@@ -134,6 +135,26 @@
     std::vector<std::unique_ptr<replica>> replicas;
 };
 
+// What this disk takes for an append and its sync; it bounds everything below.
+void measureSync(environment &env)
+{
+    std::filesystem::create_directories(FLAGS_folder);
+    const auto file = env.files.create(std::filesystem::path(FLAGS_folder) / "sync");
+    const std::string bytes(static_cast<std::size_t>(FLAGS_command_bytes), 'c');
+    std::vector<double> times;
+    constexpr int repeats = 1'000;
+    for (int i = 0; i < repeats; ++i) {
+        const auto begin = clock_type::now();
+        file->append(bytes);
+        file->sync();
+        times.push_back(milliseconds(clock_type::now() - begin));
+    }
+    std::ranges::sort(times);
+    fmt::print("sync bytes={} p50_ms={:.3f} p99_ms={:.3f} max_ms={:.3f}\n", FLAGS_command_bytes,
+               times[repeats / 2], times[repeats * 99 / 100], times.back());
+    std::fflush(stdout);
+}
+
 // Keeps `writers` commands under way from one thread, oldest first, and measures each from its
 // submit to its result.
 void measureCommits(environment &env, int delayMs, int writers)
@@ -235,6 +256,7 @@
         return 1;
     }
     environment env;
+    measureSync(env);
     for (const int delay : numbersIn(FLAGS_delays_ms))
         for (const int writers : numbersIn(FLAGS_writers))
             measureCommits(env, delay, writers);
