--- a/tests/steering/slot_allocator_test.cc
+++ b/tests/steering/slot_allocator_test.cc
@@ -20,9 +20,13 @@
 
 using milliseconds = std::chrono::milliseconds;
 
+// What a history has more of than the others.
+enum class stress_kind { none, late_messages, leader_changes, quorum_gaps };
+
 struct sim_options
 {
     std::uint64_t seed = 0;
+    stress_kind stress = stress_kind::none;
     milliseconds length = 150s;
     bool hasDrains = true;
     bool changesShare = true;
@@ -89,7 +93,8 @@
         milliseconds nextReport{0};
         bool isUp = true;
         milliseconds restartAt{0};
-        bool isCutOff = false;
+        bool losesReports = false;
+        bool losesReplies = false;
         std::uint32_t demand = 0;
     };
     struct leader
@@ -152,7 +157,9 @@
         for (std::size_t i = 0; i < m_pools.size(); ++i)
             item.allocator.setDrained(service, m_pools[i].upstream, m_isDrained[i]);
         m_leaders.push_back(std::move(item));
-        m_nextElection = m_now + 20s + milliseconds(below(60'000));
+        m_nextElection = m_now
+            + (m_options.stress == stress_kind::leader_changes ? 3s + milliseconds(below(25'000))
+                                                               : 20s + milliseconds(below(60'000)));
     }
 
     void stepWorld()
@@ -190,7 +197,8 @@
             m_nextElection = m_now + (chance(0.5) ? 0ms : milliseconds(below(40'000)));
         } else if (!isLed && m_now >= m_nextElection) {
             startLeader();
-        } else if (isLed && m_leaders.back().hasQuorum && chance(0.002)) {
+        } else if (isLed && m_leaders.back().hasQuorum
+                   && chance(m_options.stress == stress_kind::quorum_gaps ? 0.04 : 0.002)) {
             m_leaders.back().hasQuorum = false;
             m_leaders.back().quorumLostAt = m_now;
             m_quorumBackAt = m_now + milliseconds(below(1900));
@@ -210,7 +218,7 @@
         const int copies = chance(0.1) ? 0 : chance(0.1) ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             milliseconds delay(1 + below(300));
-            if (chance(0.05))
+            if (chance(m_options.stress == stress_kind::late_messages ? 0.3 : 0.05))
                 delay = milliseconds(below(30'000));
             m_messages.push_back({m_now + delay, action});
         }
@@ -244,14 +252,16 @@
             item.restartAt = m_now + milliseconds(below(chance(0.5) ? 500 : 20'000));
             return;
         }
-        if (chance(0.001))
-            item.isCutOff = !item.isCutOff;
+        if (chance(m_options.stress == stress_kind::quorum_gaps ? 0.004 : 0.001)) {
+            item.losesReports = !item.losesReports;
+            item.losesReplies = item.losesReports && chance(0.5);
+        }
         if (chance(0.01))
             item.demand = chance(0.5) ? 0 : static_cast<std::uint32_t>(below(30));
         const steady_time now = localNow(item);
         const bool isUnled = m_leaders.empty()
             || (!m_leaders.back().hasQuorum && m_now >= m_leaders.back().quorumLostAt + 1s);
-        if (isUnled && chance(0.1)) {
+        if (isUnled && chance(0.3)) {
             for (slot_lease &lease : item.leases)
                 lease.renewByProof(now, now);
         }
@@ -272,7 +282,7 @@
 
     void sendReport(const holder &item)
     {
-        if (item.isCutOff || m_leaders.empty())
+        if (item.losesReports || m_leaders.empty())
             return;
         const steady_time sentAt = localNow(item);
         slot_report report{item.name, item.incarnation, {}, {{service, item.demand, 0, 0}}};
@@ -281,8 +291,11 @@
                                     static_cast<std::uint32_t>(item.work[i].size()),
                                     item.leases[i].epoch()});
         const std::uint64_t term = m_leaders[below(m_leaders.size())].term;
-        send([this, report, sentAt, term] {
-            const auto found = std::ranges::find(m_leaders, term, &leader::term);
+        const bool isRedirected = chance(0.3); // to the leader at the time of arrival
+        send([this, report, sentAt, term, isRedirected] {
+            const auto found = isRedirected && !m_leaders.empty()
+                ? std::prev(m_leaders.end())
+                : std::ranges::find(m_leaders, term, &leader::term);
             if (found == m_leaders.end())
                 return;
             const slot_reply reply = found->allocator.report(report, localNow(*found));
@@ -294,7 +307,7 @@
     void receive(const slot_report &report, const slot_reply &reply, steady_time sentAt)
     {
         const auto item = std::ranges::find(m_holders, report.instance, &holder::name);
-        if (!item->isUp || item->incarnation != report.incarnation || item->isCutOff)
+        if (!item->isUp || item->incarnation != report.incarnation || item->losesReplies)
             return;
         for (slot_lease &lease : item->leases)
             lease.observeTerm(reply.term);
@@ -440,20 +453,21 @@
     void neverExceedsSlotsUnderFaults()
     {
         std::uint64_t started = 0;
-        for (std::uint64_t seed = 1; seed <= 150; ++seed) {
-            slot_simulation simulation({seed});
+        for (std::uint64_t seed = 1; seed <= 700; ++seed) {
+            slot_simulation simulation({seed, static_cast<stress_kind>(seed / 2 % 4)});
             CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
             started += simulation.started();
         }
         // The histories must do real work, or the check above says nothing.
-        CPPUNIT_ASSERT(started > 150 * 1000);
+        CPPUNIT_ASSERT(started > 700 * 500);
     }
 
     // Guards against a region that is granted more than its limit while leaders change.
     void keepsRegionLimitUnderFaults()
     {
         for (std::uint64_t seed = 1001; seed <= 1060; ++seed) {
-            slot_simulation simulation({seed, 150s, true, false});
+            slot_simulation simulation(
+                {seed, static_cast<stress_kind>(seed / 2 % 4), 150s, true, false});
             CPPUNIT_ASSERT_EQUAL(std::string(), simulation.run());
         }
     }
