--- a/src/steering/slot_allocator.cc
+++ b/src/steering/slot_allocator.cc
@@ -516,8 +516,9 @@
     return pool.spec.region == item.member.region ? 1 : 2;
 }
 
-// Max-min fairness over what the instances want; a share of what is left over is added.
-double slot_allocator::fairShare(const row &item, index serviceIndex) const
+// Max-min fairness over the demands. What is left serves the headroom above them, and a share of
+// what is left after that is divided equally.
+slot_allocator::fair_share slot_allocator::fairShare(const row &item, index serviceIndex) const
 {
     const service_state &service = m_services[serviceIndex];
     double available = 0;
@@ -527,39 +528,52 @@
             capacity += m_pools[poolIndex].capacity;
         available += std::min(capacity, region.limit);
     }
-    std::uint32_t ownedSeats = 0;
-    std::vector<double> wants;
-    double own = 0;
+    // Seats that no known instance owns cannot be used.
+    for (const index poolIndex : service.pools)
+        available -= m_pools[poolIndex].activeSeats;
+    std::vector<double> needs;
+    double total = 0;
+    double totalHeadroom = 0;
+    double ownNeed = 0;
+    double ownHeadroom = 0;
     for (const auto &[name, other] : m_rows) {
         std::uint32_t active = 0;
         for (const index poolIndex : service.pools)
             active += other.entries[poolIndex].active;
-        ownedSeats += active;
+        available += active;
         const service_demand &demand = other.demands[serviceIndex];
-        const bool isAnswering = other.isAdopted && m_now < other.lastReply + slot_lease::duration;
-        double want = isAnswering || &other == &item
-            ? std::ceil(demand.estimate * demandHeadroom) + 1
-            : static_cast<double>(demand.total);
-        want = std::max(want, static_cast<double>(active));
-        if (&other == &item)
-            own = want;
-        wants.push_back(want);
+        const bool isAnswering = &other == &item
+            || (other.isAdopted && m_now < other.lastReply + slot_lease::duration);
+        // Slots of a silent instance cannot be taken yet.
+        const double need = std::max(
+            isAnswering ? demand.estimate : static_cast<double>(demand.total), 1.0 * active);
+        const double headroom = isAnswering
+            ? std::max(std::ceil(demand.estimate * demandHeadroom) + 1 - need, 0.0)
+            : 0;
+        if (&other == &item) {
+            ownNeed = need;
+            ownHeadroom = headroom;
+        }
+        total += need;
+        totalHeadroom += headroom;
+        needs.push_back(need);
     }
-    for (const index poolIndex : service.pools)
-        available -= m_pools[poolIndex].activeSeats;
-    available += ownedSeats;
-    const double total = std::accumulate(wants.begin(), wants.end(), 0.0);
-    if (total <= available)
-        return own + spareShare * (available - total) / static_cast<double>(wants.size());
-    std::ranges::sort(wants);
-    double left = available;
-    for (std::size_t i = 0; i < wants.size(); ++i) {
-        const double level = left / static_cast<double>(wants.size() - i);
-        if (wants[i] >= level)
-            return std::min(own, level);
-        left -= wants[i];
+    const double left = available - total;
+    if (left >= totalHeadroom)
+        return {ownNeed + ownHeadroom
+                    + spareShare * (left - totalHeadroom) / static_cast<double>(needs.size()),
+                false};
+    if (left >= 0)
+        return {ownNeed + ownHeadroom * left / totalHeadroom, true};
+    std::ranges::sort(needs);
+    double unshared = available;
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const double level = unshared / static_cast<double>(needs.size() - i);
+        if (needs[i] >= level)
+            return {std::min(ownNeed, level), true};
+        unshared -= needs[i];
     }
-    return own;
+    return {ownNeed, true};
 }
 
 // Takes leased slots away, farthest upstreams first.
@@ -651,18 +665,20 @@
             setTarget(item, poolIndex, item.entries[poolIndex].target + 1);
     }
     const std::uint32_t have = item.demands[serviceIndex].total;
-    const double fair = fairShare(item, serviceIndex);
+    const fair_share fair = fairShare(item, serviceIndex);
     if (record != nullptr) {
         record->addInput("granted " + service.name, fmt::to_string(have));
-        record->addInput("fair_share " + service.name, fmt::format("{:.1f}", fair));
+        record->addInput("fair_share " + service.name, fmt::format("{:.1f}", fair.slots));
         record->addInput("demand " + service.name,
                          fmt::format("{:.1f}", item.demands[serviceIndex].estimate));
     }
     if (!isHandedOver)
         return "handover-wait";
-    const auto share = static_cast<std::uint32_t>(std::max(fair, 0.0));
+    const auto share = static_cast<std::uint32_t>(std::max(fair.slots, 0.0));
+    // While nobody lacks slots, one more than the share is not worth a revocation.
+    const std::uint32_t tolerance = fair.isContended ? 0 : 1;
     std::string_view rule = "unchanged";
-    if (have > share + 1) {
+    if (have > share + tolerance) {
         // Half of the surplus a report: demand that comes back at once finds slots still granted.
         lower(item, service, (have - share + 1) / 2);
         rule = "lowered";
--- a/src/steering/slot_allocator.h
+++ b/src/steering/slot_allocator.h
@@ -251,6 +251,11 @@
         double estimate = 0;
         std::uint32_t total = 0; // sum of targets
     };
+    struct fair_share
+    {
+        double slots = 0;
+        bool isContended = false; // not everybody gets what they want, headroom included
+    };
     struct row
     {
         slot_member member;
@@ -287,7 +292,7 @@
     bool canRaise(const row &item, index poolIndex, bool leased) const;
     void enforceLimits(row &item, service_state &service);
     std::string_view balance(row &item, index serviceIndex, decision_record *record);
-    double fairShare(const row &item, index serviceIndex) const;
+    fair_share fairShare(const row &item, index serviceIndex) const;
     static std::uint32_t tierOf(const row &item, const pool_state &pool);
     void lower(row &item, const service_state &service, std::uint32_t count);
     std::uint32_t raise(row &item, const service_state &service, std::uint32_t count,
--- /dev/null
+++ b/tests/steering/freshness_rule_test.cc
@@ -0,0 +1,63 @@
+#include "steering/freshness_rule.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start(1000s);
+
+} // namespace
+
+class freshness_rule_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(freshness_rule_test);
+    CPPUNIT_TEST(stampCountsOnceItsRevisionIsApplied);
+    CPPUNIT_TEST(provesMissingQuorumByMajority);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an instance that counts as current with an old profile.
+    void stampCountsOnceItsRevisionIsApplied()
+    {
+        freshness_rule rule(3);
+        CPPUNIT_ASSERT(rule.decide(start).state == freshness::isolated);
+        rule.recordApplied(5);
+        rule.recordStamp(5, start);
+        CPPUNIT_ASSERT(rule.decide(start + 2999ms).state == freshness::current);
+        CPPUNIT_ASSERT(rule.decide(start + 3s).state == freshness::isolated);
+        rule.recordStamp(7, start + 3s);
+        rule.recordApplied(6);
+        CPPUNIT_ASSERT(rule.decide(start + 3s).state == freshness::isolated);
+        rule.recordApplied(7);
+        CPPUNIT_ASSERT(rule.decide(start + 3s).state == freshness::current);
+        // A stamp received late in the past does not extend the time.
+        rule.recordStamp(2, start + 1s);
+        CPPUNIT_ASSERT(rule.decide(start + 6s).state == freshness::isolated);
+    }
+
+    // Guards against serving on as if nothing could change while a quorum exists elsewhere.
+    void provesMissingQuorumByMajority()
+    {
+        freshness_rule rule(3);
+        rule.recordProbe(1, probe_answer::no_leader, start);
+        CPPUNIT_ASSERT(rule.decide(start).state == freshness::isolated);
+        rule.recordProbe(2, probe_answer::refused, start + 1s);
+        const freshness_decision proven = rule.decide(start + 2s);
+        CPPUNIT_ASSERT(proven.state == freshness::no_quorum_proven && *proven.provenAt == start);
+        CPPUNIT_ASSERT(rule.decide(start + 3s).state == freshness::isolated);
+        rule.recordProbe(1, probe_answer::no_leader, start + 3s);
+        CPPUNIT_ASSERT(*rule.decide(start + 3s).provenAt == start + 1s);
+        rule.recordProbe(2, probe_answer::has_leader, start + 3s);
+        CPPUNIT_ASSERT_EQUAL(std::string_view("quorum-elsewhere"), rule.decide(start + 3s).rule);
+        // Late answers and strangers beyond the number of voters do not count.
+        rule.recordProbe(2, probe_answer::refused, start + 2s);
+        rule.recordProbe(3, probe_answer::has_leader, start + 3s);
+        rule.recordProbe(4, probe_answer::no_leader, start + 3s);
+        CPPUNIT_ASSERT(rule.decide(start + 3s).state == freshness::isolated);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(freshness_rule_test);
--- /dev/null
+++ b/tests/steering/shift_governor_test.cc
@@ -0,0 +1,161 @@
+#include "steering/shift_governor.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start(1000s);
+
+shift_sample sampleOf(std::uint32_t load, std::uint32_t slots, bool good)
+{
+    return {load, slots, good ? 10ms : 10s, 0.0};
+}
+
+} // namespace
+
+class shift_governor_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(shift_governor_test);
+    CPPUNIT_TEST(neverGrowsByMoreThanCapInAnyWindow);
+    CPPUNIT_TEST(reachesDemandWithGoodMeasurements);
+    CPPUNIT_TEST(holdsAndStepsBackWithoutOscillation);
+    CPPUNIT_TEST(missingMeasurementsHold);
+    CPPUNIT_TEST(cachedAnswersAreNotRefusedLater);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against two steps around an interval's boundary, after a dip in load, or through late
+    // updates. Compares every pair of samples up to one interval apart.
+    void neverGrowsByMoreThanCapInAnyWindow()
+    {
+        std::size_t atLimit = 0;
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            std::mt19937_64 random(seed);
+            profile rules;
+            rules.shiftCap = std::array{0.01, 0.1, 0.3}[seed % 3];
+            rules.shiftInterval = std::array{1s, 10s, 60s}[seed / 3 % 3];
+            const auto slots = static_cast<std::uint32_t>(random() % 300);
+            const std::uint32_t step
+                = std::max(1U, static_cast<std::uint32_t>(rules.shiftCap * slots + 1e-9));
+            shift_governor governor;
+            std::vector<std::pair<steady_time, std::uint32_t>> history;
+            steady_time now = start;
+            std::uint32_t demand = 0;
+            std::uint32_t limit = static_cast<std::uint32_t>(random() % 20);
+            for (int i = 0; i < 400; ++i) {
+                if (random() % 20 == 0)
+                    demand = static_cast<std::uint32_t>(random() % 400);
+                const auto load = std::min(
+                    limit, demand - std::min(demand, static_cast<std::uint32_t>(random() % 10)));
+                atLimit += load == limit ? 1 : 0;
+                history.emplace_back(now, load);
+                for (const auto &[at, earlier] : history) {
+                    if (now - at <= rules.shiftInterval)
+                        CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {} sample {}", seed, i),
+                                               load <= earlier + step);
+                }
+                limit = governor.update(sampleOf(load, slots, random() % 8 != 0), rules, now).limit;
+                now += random() % 10 == 0 ? 3500ms
+                                          : std::chrono::milliseconds(900 + random() % 200);
+            }
+        }
+        CPPUNIT_ASSERT(atLimit > 10'000);
+    }
+
+    // Guards against a limit that never lets a failed region's load in.
+    void reachesDemandWithGoodMeasurements()
+    {
+        const profile rules; // 10% per 10 s
+        shift_governor governor;
+        std::uint32_t load = 0;
+        int seconds = 0;
+        for (; load < 50 && seconds < 300; ++seconds) {
+            const auto decision
+                = governor.update(sampleOf(load, 100, true), rules, start + 1s * seconds);
+            load = std::min(50U, decision.limit);
+        }
+        CPPUNIT_ASSERT_EQUAL(50U, load);
+        CPPUNIT_ASSERT(seconds >= 40 && seconds <= 70);
+    }
+
+    // Guards against a limit that follows each bad or good second up and down.
+    void holdsAndStepsBackWithoutOscillation()
+    {
+        const profile rules;
+        shift_governor governor;
+        std::uint32_t load = 40;
+        std::vector<std::uint32_t> limits;
+        for (int second = 0; second < 150; ++second) {
+            const auto decision
+                = governor.update(sampleOf(load, 100, second < 10), rules, start + 1s * second);
+            load = std::min(load, decision.limit);
+            limits.push_back(decision.limit);
+        }
+        // Never up again while measurements are bad, and one step per four intervals: two bad ones
+        // and two held.
+        CPPUNIT_ASSERT(std::ranges::is_sorted(limits, std::greater()));
+        std::ranges::sort(limits);
+        const auto repeated = std::ranges::unique(limits);
+        limits.erase(repeated.begin(), repeated.end());
+        CPPUNIT_ASSERT(limits.size() >= 3 && limits.size() <= 5);
+    }
+
+    void missingMeasurementsHold()
+    {
+        const profile rules;
+        shift_governor governor;
+        for (int second = 0; second <= 100; ++second)
+            governor.update(
+                {static_cast<std::uint32_t>(std::min(second, 10)), 100, std::nullopt, std::nullopt},
+                rules, start + 1s * second);
+        CPPUNIT_ASSERT(governor.limit() <= 10);
+    }
+
+    // Guards against answers that callers keep and act on after the limit has no room for them.
+    void cachedAnswersAreNotRefusedLater()
+    {
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            std::mt19937_64 random(seed);
+            shift_admission admission;
+            admission.setLimit(20);
+            steady_time now = start;
+            std::uint32_t inFlight = 0;
+            std::vector<std::pair<steady_time, int>> cached; // expiry, requests still to come
+            std::size_t refused = 0;
+            std::size_t arrived = 0;
+            for (int i = 0; i < 3000; ++i) {
+                now += std::chrono::milliseconds(random() % 50);
+                if (admission.mayAnnounce(1, inFlight, now)) {
+                    admission.announce(1, 3s, now);
+                    cached.emplace_back(now + 3s, 1);
+                }
+                // Each caller sends its one request at some time before its answer expires.
+                std::erase_if(cached, [&](const auto &item) {
+                    if (now < item.first - 100ms && random() % 20 != 0)
+                        return false;
+                    ++arrived;
+                    if (admission.mayAdmit(inFlight))
+                        ++inFlight;
+                    else
+                        ++refused;
+                    return true;
+                });
+                CPPUNIT_ASSERT(inFlight <= 20);
+                while (inFlight > 0 && random() % 4 == 0)
+                    --inFlight;
+            }
+            CPPUNIT_ASSERT(arrived > 100);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, refused);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shift_governor_test);
--- a/tests/steering/slot_allocator_test.cc
+++ b/tests/steering/slot_allocator_test.cc
@@ -1,5 +1,6 @@
 #include "steering/block_table.h"
 #include "steering/slot_allocator.h"
+#include "tests/steering/slot_allocation_naive.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -441,6 +442,7 @@
     CPPUNIT_TEST(givesLoneBusyInstanceMostSlots);
     CPPUNIT_TEST(prefersNearUpstreams);
     CPPUNIT_TEST(sharesFairlyWhenDemandExceedsSlots);
+    CPPUNIT_TEST(servesAboutAsMuchDemandAsReference);
     CPPUNIT_TEST(drainTakesAllSlotsBack);
     CPPUNIT_TEST(rampsUpStartedUpstream);
     CPPUNIT_TEST(leaseFallsBackToReservedSlots);
@@ -519,6 +521,40 @@
             CPPUNIT_ASSERT(cluster.held(member.instance) >= 14);
     }
 
+    // Guards against demand that stays unserved although slots could be moved to it. Reserved
+    // seats of idle instances are the only slots that the reference has in addition.
+    void servesAboutAsMuchDemandAsReference()
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            std::mt19937_64 random(seed);
+            calm_cluster cluster(twoRegions(static_cast<std::uint32_t>(2 + seed % 8)), fourMembers);
+            for (int change = 0; change < 4; ++change) {
+                for (auto &[name, demand] : cluster.demand)
+                    demand = static_cast<std::uint32_t>(random() % 3 == 0 ? 0 : random() % 40);
+                cluster.periods(15);
+                std::uint32_t reference = 0;
+                std::uint32_t served = 0;
+                const auto best
+                    = allocateSlotsNaive(cluster.pools, fourMembers, cluster.demand, 0.9);
+                for (const slot_member &member : fourMembers) {
+                    reference += best.at(member.instance);
+                    served
+                        += std::min(cluster.held(member.instance), cluster.demand[member.instance]);
+                }
+                std::uint32_t idleSeats = 0;
+                for (const slot_member &member : fourMembers) {
+                    std::uint32_t seats = 0;
+                    for (const slot_lease &lease : cluster.leases[member.instance])
+                        seats += lease.reserved();
+                    idleSeats += seats - std::min(seats, cluster.demand[member.instance]);
+                }
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {} of {}, {} idle seats", seed, served,
+                                                   reference, idleSeats),
+                                       served + idleSeats + fourMembers.size() >= reference);
+            }
+        }
+    }
+
     // Guards against new work on a drained upstream.
     void drainTakesAllSlotsBack()
     {
--- /dev/null
+++ b/tests/steering/suspicion_rule_test.cc
@@ -0,0 +1,87 @@
+#include "steering/suspicion_rule.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start(1000s);
+
+} // namespace
+
+class suspicion_rule_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(suspicion_rule_test);
+    CPPUNIT_TEST(suspectsOnlyWithObservers);
+    CPPUNIT_TEST(dampsRepeatedRefutations);
+    CPPUNIT_TEST(removesOnlyUnlistedOrByOperator);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against one observer's broken path taking an instance out.
+    void suspectsOnlyWithObservers()
+    {
+        suspicion_rule rule(1, start);
+        suspicion_input input;
+        CPPUNIT_ASSERT(rule.decide(input, start + 2999ms).state == instance_state::live);
+        input.observers = observer_opinion::reachable;
+        CPPUNIT_ASSERT(rule.decide(input, start + 3s).state == instance_state::live);
+        input.observers = observer_opinion::unreachable;
+        CPPUNIT_ASSERT(rule.decide(input, start + 3s).state == instance_state::suspected);
+        input.observers = observer_opinion::reachable;
+        CPPUNIT_ASSERT(rule.decide(input, start + 10s).state == instance_state::dead);
+        CPPUNIT_ASSERT(!rule.recordReport(0, start + 11s));
+        CPPUNIT_ASSERT(rule.recordReport(2, start + 11s));
+        CPPUNIT_ASSERT(rule.decide(input, start + 11s).state == instance_state::live);
+        input.isReady = false;
+        CPPUNIT_ASSERT(rule.decide(input, start + 11s).state == instance_state::not_ready);
+        input.isLeaving = true;
+        CPPUNIT_ASSERT(rule.decide(input, start + 11s).state == instance_state::leaving);
+    }
+
+    // Guards against an instance that comes and goes and moves callers each time.
+    void dampsRepeatedRefutations()
+    {
+        suspicion_rule rule(1, start);
+        const suspicion_input input;
+        steady_time now = start;
+        const auto flap = [&] {
+            now += 4s;
+            CPPUNIT_ASSERT(rule.decide(input, now).state == instance_state::suspected);
+            rule.recordReport(1, now);
+        };
+        flap();
+        flap();
+        CPPUNIT_ASSERT(rule.decide(input, now).state == instance_state::live);
+        for (const auto length : {2s, 4s, 8s, 16s, 32s, 60s, 60s}) {
+            flap();
+            CPPUNIT_ASSERT(rule.heldOutUntil() == now + length);
+            CPPUNIT_ASSERT_EQUAL(std::string_view("refuted-too-often"),
+                                 rule.decide(input, now).rule);
+        }
+        // A quiet minute resets the time.
+        for (int second = 0; second < 70; ++second) {
+            now += 1s;
+            rule.recordReport(1, now);
+        }
+        flap();
+        CPPUNIT_ASSERT(rule.decide(input, now).state == instance_state::live);
+    }
+
+    void removesOnlyUnlistedOrByOperator()
+    {
+        suspicion_rule rule(1, start);
+        suspicion_input input;
+        CPPUNIT_ASSERT(rule.decide(input, start + 1h).state == instance_state::dead);
+        input.isListed = false;
+        CPPUNIT_ASSERT(rule.decide(input, start + 9min).state == instance_state::dead);
+        CPPUNIT_ASSERT(rule.decide(input, start + 10min).state == instance_state::removed);
+        input.isListed = true;
+        input.isRemovedByOperator = true;
+        CPPUNIT_ASSERT(rule.decide(input, start).state == instance_state::removed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(suspicion_rule_test);
