--- a/tests/steering/slot_allocator_test.cc
+++ b/tests/steering/slot_allocator_test.cc
@@ -214,7 +214,7 @@
         }
     }
 
-    void send(std::function<void()> action)
+    void send(const std::function<void()> &action)
     {
         const int copies = chance(0.1) ? 0 : chance(0.1) ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
@@ -423,6 +423,7 @@
 std::vector<slot_pool> twoRegions(std::uint32_t slots)
 {
     std::vector<slot_pool> pools;
+    pools.reserve(10);
     for (int i = 0; i < 10; ++i)
         pools.push_back({service, fmt::format("u{}", i), fmt::format("r{}", i / 5),
                          fmt::format("r{}{}", i / 5, i % 2), slots});
