--- a/src/steering/upstream_selector.cc
+++ b/src/steering/upstream_selector.cc
@@ -15,6 +15,10 @@
 // Score added to an upstream at the start of its warm-up, in units of full use.
 constexpr double slowStartPenalty = 1;
 constexpr unsigned maxDraws = 4;
+// A reported load counts half after this time. In bench_decisions' model (90% use, reports every
+// second) the 99th percentile is 552 ms without the decay, which is worse than random choice
+// (452 ms), 310 ms with a half-life of 250 ms and 203 ms with 100 ms.
+constexpr std::chrono::duration<double, std::milli> loadHalfLife{100};
 
 std::uint64_t nextRandom(std::uint64_t &state)
 {
@@ -119,7 +123,7 @@
     if (view.reportedLoad && std::isfinite(*view.reportedLoad) && *view.reportedLoad >= 0
         && *view.reportedLoad <= 1 && view.loadAge <= maxLoadAge
         && view.loadAge >= std::chrono::milliseconds(0))
-        use = std::max(own, *view.reportedLoad);
+        use += std::max(*view.reportedLoad - own, 0.0) * std::exp2(-(view.loadAge / loadHalfLife));
     // An upstream without a measurement counts as one unit slow: neither first nor last.
     double latency = 1;
     if (view.latency && *view.latency >= std::chrono::microseconds(0))
--- a/src/steering/upstream_selector.h
+++ b/src/steering/upstream_selector.h
@@ -79,6 +79,7 @@
 std::string_view ineligibleReason(const upstream_view &view);
 // Lower is better. Latency in units of 10 ms; a load that is missing, old or nonsense is replaced
 // by this instance's own use, and a reported load never makes an upstream look emptier than that.
+// A reported load loses weight with its age, because all instances act on the same report.
 double selectionScore(const upstream_view &view, const selection_weights &weights);
 
 // `views` parallels `tiers.places()`. `random` must be uniform over 64 bits; the same inputs give
