--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -399,7 +399,7 @@
     for (const std::string &name : m_controls) {
         if (!isRunning(name))
             continue;
-        const auto status = parseObject(
+        auto status = parseObject(
             exchange(address(name), {.path = "/v1/status", .timeout = std::chrono::seconds(5)})
                 .body);
         const auto replica = status ? status->getObject("replica") : nullptr;
--- a/tests/model/settings_test.cc
+++ b/tests/model/settings_test.cc
@@ -6,6 +6,7 @@
 #include "testing/temp_folder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <chrono>
 #include <functional>
@@ -118,8 +119,8 @@
         }
         if (!seen.starts_with(prefix + each.fault)
             || (seen.find('\n') != std::string::npos && !each.hasFollowUps))
-            wrong += "'" + each.to + "'\n  expected: " + prefix + each.fault + "\n  seen: " + seen
-                + "\n";
+            wrong += fmt::format("'{}'\n  expected: {}{}\n  seen: {}\n", each.to, prefix,
+                                 each.fault, seen);
     }
     CPPUNIT_ASSERT_MESSAGE(wrong, wrong.empty());
 }
