--- a/src/steering/slot_allocator.cc
+++ b/src/steering/slot_allocator.cc
@@ -202,8 +202,8 @@
             pool.activeSeats = std::min({seatCount(service.rules.reservedShare, pool.spec.slots),
                                          pool.seats(), pool.capacity, seatsLeft});
             seatsLeft -= pool.activeSeats;
-            region.charged += pool.activeSeats;
-            region.granted += pool.activeSeats;
+            region.charged += pool.seats();
+            region.granted += pool.seats();
             pool.chargedBeyondSeats = 0;
             pool.chargedBeyondActive = 0;
             pool.targetBeyondSeats = 0;
@@ -244,10 +244,10 @@
     const std::uint32_t charge = item.committed + item.retired;
     apply(pool.chargedBeyondSeats, beyond(charge, item.seats));
     apply(pool.chargedBeyondActive, beyond(charge, item.active));
-    apply(region.charged, beyond(charge, item.active));
+    apply(region.charged, beyond(charge, item.seats));
     apply(pool.targetBeyondSeats, beyond(item.target, item.seats));
     apply(pool.targetBeyondActive, beyond(item.target, item.active));
-    apply(region.granted, beyond(item.target, item.active));
+    apply(region.granted, beyond(item.target, item.seats));
 }
 
 void slot_allocator::change(row &item, index poolIndex, const entry &changed)
@@ -429,6 +429,8 @@
         if (pool.epoch >= changed.loweredEpoch)
             changed.committed
                 = std::min(changed.committed, std::max(changed.target, pool.inFlight));
+        // Never needed if the holder keeps to the protocol; a late report may cause it, and the
+        // next one corrects it.
         changed.committed = std::max(changed.committed, pool.inFlight);
         change(item, found->second, changed);
     }
@@ -478,8 +480,11 @@
     if (pool.activeSeats + pool.targetBeyondActive >= pool.capacity
         || region.granted >= region.limit)
         return false;
+    // Already charged, but a report that arrived late may have raised the charge above a limit.
     if (target <= cell.committed)
-        return pool.charged() <= pool.spec.slots;
+        return pool.charged() <= pool.spec.slots
+            && pool.activeSeats + pool.chargedBeyondActive <= pool.capacity
+            && region.charged <= region.limit;
     const std::uint32_t charge = cell.committed + cell.retired;
     const bool needsSlot = charge + 1 > cell.seats;
     return pool.charged() + (needsSlot ? 1 : 0) <= pool.spec.slots
@@ -639,11 +644,12 @@
     service_state &service = m_services[serviceIndex];
     if (!isStarted(item, service))
         return "start-wait";
+    enforceLimits(item, service);
+    const bool isHandedOver = checkHandover(service);
     for (const index poolIndex : service.pools) {
-        while (canRaise(item, poolIndex, false))
+        while (isHandedOver && canRaise(item, poolIndex, false))
             setTarget(item, poolIndex, item.entries[poolIndex].target + 1);
     }
-    enforceLimits(item, service);
     const std::uint32_t have = item.demands[serviceIndex].total;
     const double fair = fairShare(item, serviceIndex);
     if (record != nullptr) {
@@ -652,7 +658,7 @@
         record->addInput("demand " + service.name,
                          fmt::format("{:.1f}", item.demands[serviceIndex].estimate));
     }
-    if (!checkHandover(service))
+    if (!isHandedOver)
         return "handover-wait";
     const auto share = static_cast<std::uint32_t>(std::max(fair, 0.0));
     std::string_view rule = "unchanged";
