--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -7,15 +7,18 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 using namespace buckthorngrade;
 
-// Checks the helper for other integration tests, with one control instance.
+// Checks the helper for other integration tests, and the command line on real processes.
 class deployment_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(deployment_test);
     CPPUNIT_TEST(carriesRequestsAndRecordsThem);
     CPPUNIT_TEST(proxiesStandBetweenProcesses);
     CPPUNIT_TEST(commandLineWorksOnRealInstances);
+    CPPUNIT_TEST(commandLineFollowsTheLeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,10 +78,8 @@
     {
         deployment system({.controls = 1, .entries = 2});
         system.startAll();
-        const auto run = [&](std::vector<std::string> words) {
-            words.push_back("--config=" + system.settingsFile("control-1").string());
-            return runProcess(std::string(BG_BINARY_DIR) + "/buckthorngrade", words);
-        };
+        const auto run
+            = [&](const std::vector<std::string> &words) { return runCli(system, words); };
         const std::vector<std::string> author = {"--operator=anna", "--reason=test"};
         const auto edit = [&](std::vector<std::string> words) {
             words.insert(words.end(), author.begin(), author.end());
@@ -110,6 +111,53 @@
         expect(4, "", run({"profile", "get", "none"}));
         expect(0, "entries[0].address: ", run({"lookup", "lookup"}));
     }
+
+    // Guards against an edit that is lost, or reported as in force too early, because the leader
+    // died or was silently cut off.
+    void commandLineFollowsTheLeader()
+    {
+        deployment system({.controls = 3, .entries = 2, .proxyControls = true});
+        system.startAll();
+        const std::string file = system.folder() / "edited.yaml";
+        const auto edit = [&](int baseVersion) {
+            writeWholeFile(
+                file, fmt::format("{}queue_length: {}\n", system.profileYaml("fast"), baseVersion));
+            const process_result result
+                = runCli(system,
+                         {"profile", "set", "fast", file, "--operator=anna", "--reason=test",
+                          fmt::format("--base_version={}", baseVersion), "--wait"});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(result.output + result.errors, 0, result.code);
+        };
+        const std::string first = system.leader();
+        system.kill(first);
+        edit(1);
+        system.start(first);
+        system.waitForLeader();
+        const std::string second = system.leader();
+        system.isolate({second});
+        waitUntil("another instance leads", [&] {
+            const std::string now = system.leader();
+            return !now.empty() && now != second;
+        });
+        edit(2);
+        system.healLinks();
+        waitUntil("all control instances have both changes", [&] {
+            const auto names = system.controlNames();
+            return std::ranges::all_of(names, [&](const std::string &name) {
+                return exchange(system.address(name), {.path = "/v1/profiles/fast"})
+                           .header("profile-version")
+                    == "3";
+            });
+        });
+    }
+
+private:
+    static process_result runCli(const deployment &system, std::vector<std::string> words)
+    {
+        words.push_back("--config=" + system.settingsFile("control-1").string());
+        return runProcess(std::string(BG_BINARY_DIR) + "/buckthorngrade", words,
+                          std::chrono::minutes(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(deployment_test);
