--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "cli/signals.h"
 #include "control/control_instance.h"
+#include "control/member_control.h"
 #include "control/peer_link.h"
 
 #include <fmt/format.h>
@@ -79,9 +80,10 @@
     peer_link_service deliver(
         loaded.cluster, loaded.control.id,
         [&log](std::string bytes) { log->receive(std::move(bytes)); }, events);
+    replica_member_control members(*log);
     {
         const control_instance instance(loaded, *log, state, hub, clock, events, metrics, tracer,
-                                        {&deliver});
+                                        {&deliver}, &members);
         log->start([&failure](const std::string &what) {
             failure.set_value(what);
             requestStop();
--- a/src/control/admin_server.h
+++ b/src/control/admin_server.h
@@ -1,27 +1,41 @@
 #pragma once
 
+#include "base/event_log.h"
 #include "base/http_listener.h"
+#include "base/metrics.h"
 #include "base/trace.h"
+#include "control/confirmation.h"
 #include "control/control_state.h"
 #include "control/edit_service.h"
 #include "control/instance_registry.h"
+#include "control/member_control.h"
 #include "model/settings.h"
 
+#include <Poco/JSON/Object.h>
+
+#include <map>
+#include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace buckthorngrade {
 
 // The operators' HTTP interface of a control instance: profiles, drains, status, health and
 // metrics. Answers are JSON except profile texts (YAML) and metrics. docs/operators.md lists the
 // paths. An edit that reaches an instance that does not lead is answered 421 with a Leader header.
+// Reads are answered from what is applied here; Confirmed-Age-Ms tells how long ago a quorum
+// confirmed the leader, as far as this instance knows. Unknown or repeated parameters, headers and
+// keys are rejected, so that a misspelled one is never ignored.
 class admin_server final : public http_handler
 {
 public:
     // All references must outlive this.
+    // `members` may be null: then operators can't change the control group.
     admin_server(const settings &config, const control_state &state, edit_service &edits,
-                 const replicator &log, const instance_registry &registry,
-                 const clock_source &clock, const metric_registry &metrics,
-                 const json_tracer &tracer);
+                 const replicator &log, member_control *members, instance_registry &registry,
+                 const confirmation &confirmed, const clock_source &clock, event_log &events,
+                 const metric_registry &metrics, const json_tracer &tracer);
 
     void handle(Poco::Net::HTTPServerRequest &request,
                 Poco::Net::HTTPServerResponse &response) override;
@@ -32,29 +46,61 @@
         std::string path;
         std::map<std::string, std::string> query;
     };
+    struct route_entry
+    {
+        std::string_view method;
+        std::string_view prefix;
+        std::string_view suffix; // the path is prefix NAME suffix, or the prefix alone
+        bool hasName;
+        std::set<std::string> parameters;
+        bool isEdit;
+        void (admin_server::*handler)(Poco::Net::HTTPServerRequest &request,
+                                      Poco::Net::HTTPServerResponse &response,
+                                      const std::string &name, const target &asked);
+    };
+    static const std::vector<route_entry> &routes();
     void route(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
                const target &asked);
-    void listProfiles(Poco::Net::HTTPServerResponse &response);
-    void getProfile(Poco::Net::HTTPServerResponse &response, const std::string &name,
-                    const target &asked);
-    void getHistory(Poco::Net::HTTPServerResponse &response, const std::string &name);
+    void listProfiles(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void getProfile(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void getHistory(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
     void putProfile(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-                    const std::string &name, const target &asked);
-    void listDrains(Poco::Net::HTTPServerResponse &response);
-    void announceDrain(Poco::Net::HTTPServerRequest &request,
-                       Poco::Net::HTTPServerResponse &response);
+        const std::string &name, const target &asked);
+    void listDrains(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void announceDrain(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
     void cancelDrain(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-                     const std::string &id);
-    void getStatus(Poco::Net::HTTPServerResponse &response);
-    void getReadiness(Poco::Net::HTTPServerResponse &response);
+        const std::string &name, const target &asked);
+    void removeInstance(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void changeMembers(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void getStatus(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void getReadiness(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void getHealth(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
+    void getMetrics(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+        const std::string &name, const target &asked);
     void answerEdit(Poco::Net::HTTPServerResponse &response, const wire::edit &edit);
+    void answerNotLeader(Poco::Net::HTTPServerResponse &response, replica_id leader);
+    void addMembers(Poco::JSON::Object &status) const;
+    void addInstances(Poco::JSON::Object &status, bool isLeading);
 
     const settings &m_settings;
     const control_state &m_state;
     edit_service &m_edits;
     const replicator &m_log;
-    const instance_registry &m_registry;
+    member_control *m_members;
+    instance_registry &m_registry;
+    const confirmation &m_confirmed;
     const clock_source &m_clock;
+    event_log &m_events;
     const metric_registry &m_metrics;
     const json_tracer &m_tracer;
 };
--- /dev/null
+++ b/src/control/allocation_service.cc
@@ -0,0 +1,474 @@
+#include "control/allocation_service.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace buckthorngrade {
+
+namespace {
+
+// A claim that was not renewed for some report periods is that of a silent instance.
+constexpr std::chrono::seconds claimLifetime{3};
+
+slot_report slotReport(const wire::report_request &report)
+{
+    slot_report result;
+    result.instance = report.instance();
+    result.incarnation = report.incarnation();
+    return result;
+}
+
+} // namespace
+
+std::string foreignPoolName(const std::string &service)
+{
+    return service + "/foreign";
+}
+
+allocation_service::allocation_service(const settings &config, const control_state &state,
+                                       const confirmation &confirmed, const clock_source &clock,
+                                       event_log &events, metric_registry &metrics)
+    : m_settings(config)
+    , m_state(state)
+    , m_confirmed(confirmed)
+    , m_clock(clock)
+    , m_events(events)
+    , m_reports(metrics.counter("buckthorngrade_reports_total"))
+    , m_reportTime(metrics.summary("buckthorngrade_report_seconds"))
+{
+    for (const service_spec &service : config.deployment.services)
+        for (const upstream_spec &upstream : service.upstreams)
+            m_upstreams[{service.name, upstream.name}] = &upstream;
+}
+
+bool allocation_service::isConfirmed(std::uint64_t term) const
+{
+    const auto confirmed = m_confirmed.read();
+    return confirmed && confirmed->term == term
+        && m_clock.now() - confirmed->at <= longestUnconfirmed;
+}
+
+// Makes the table of `term` current. Returns false if the leader is not confirmed.
+bool allocation_service::enter(std::uint64_t term)
+{
+    const auto confirmed = m_confirmed.read();
+    if (!confirmed || confirmed->term != term
+        || m_clock.now() - confirmed->at > longestUnconfirmed)
+        return false;
+    if (!m_leader || m_leader->term != term) {
+        startTerm(*confirmed);
+    } else if (m_leader->quorumSince != confirmed->unbrokenSince) {
+        m_leader->quorumSince = confirmed->unbrokenSince;
+        m_leader->slots->setQuorumSince(confirmed->unbrokenSince);
+        for (const auto &[region, pools] : m_leader->foreign)
+            pools->setQuorumSince(confirmed->unbrokenSince);
+    }
+    return true;
+}
+
+void allocation_service::startTerm(const confirmation::value &confirmed)
+{
+    m_leader.emplace();
+    m_leader->term = confirmed.term;
+    m_leader->quorumSince = confirmed.unbrokenSince;
+    m_leader->revision = m_state.revision();
+    std::vector<slot_pool> pools;
+    for (const service_spec &service : m_settings.deployment.services) {
+        // A member may still apply the share of any earlier version.
+        const double largest = largestShare(service);
+        const profile current = currentProfile(service);
+        m_leader->profiles[service.name] = current;
+        m_leader->rules[service.name] = rulesOf(service, current, largest);
+        if (largest > current.reservedShare)
+            m_leader->shares[service.name] = {largest, ++m_changes, {}};
+        for (const upstream_spec &upstream : service.upstreams) {
+            const std::string region = m_settings.deployment.regionOf(upstream.failureDomain);
+            pools.push_back({service.name, upstream.name, region, upstream.failureDomain,
+                             upstream.slots});
+            m_leader->shifts[{service.name, region}].regionSlots += upstream.slots;
+        }
+    }
+    slot_allocator_settings options;
+    options.term = confirmed.term;
+    options.membersAreComplete = true;
+    for (const region_spec &region : m_settings.deployment.regions)
+        options.positions[region.name] = region.entryInstances;
+    m_leader->slots = std::make_unique<slot_allocator>(options, std::move(pools), m_leader->rules,
+                                                       confirmed.unbrokenSince);
+    startForeign(confirmed.unbrokenSince);
+    followMembers(m_clock.now());
+    followDrains();
+    m_events.write(event_id::allocation_term_started,
+                   {{"term", confirmed.term}, {"members", m_leader->members.size()}});
+}
+
+void allocation_service::startForeign(steady_time now)
+{
+    for (const region_spec &region : m_settings.deployment.regions) {
+        std::vector<slot_pool> pools;
+        std::map<std::string, slot_rules> rules;
+        for (const service_spec &service : m_settings.deployment.services) {
+            const auto shift = m_leader->shifts.find({service.name, region.name});
+            if (shift == m_leader->shifts.end())
+                continue;
+            const std::string name = foreignPoolName(service.name);
+            pools.push_back({name, region.name, region.name, "", shift->second.regionSlots});
+            slot_rules &rule = rules[name];
+            rule.reservedShare = 0;
+            rule.regionLimit = 1;
+            rule.requestDeadline = service.requestDeadline;
+            rule.warmup = std::chrono::milliseconds(0);
+        }
+        slot_allocator_settings options;
+        options.term = m_leader->term;
+        options.membersAreComplete = true;
+        m_leader->foreign[region.name]
+            = std::make_unique<slot_allocator>(options, std::move(pools), rules, now);
+    }
+}
+
+slot_rules allocation_service::rulesOf(const service_spec &service, const profile &current,
+                                       double held) const
+{
+    slot_rules rules;
+    rules.reservedShare = current.reservedShare;
+    rules.heldReservedShare = held;
+    rules.regionLimit = current.regionLimit;
+    rules.requestDeadline = service.requestDeadline;
+    rules.warmup = current.warmup;
+    return rules;
+}
+
+profile allocation_service::currentProfile(const service_spec &service) const
+{
+    const auto stored = m_state.findProfile(service.profile, 0);
+    if (!stored)
+        return {};
+    profile result = parseProfile(stored->yaml());
+    result.version = stored->version();
+    return result;
+}
+
+double allocation_service::largestShare(const service_spec &service) const
+{
+    const auto versions = m_state.history(service.profile);
+    // Before the first version the defaults were in force.
+    double largest
+        = versions.empty() || versions.front().version() == 1 ? profile().reservedShare : 0;
+    for (const wire::profile_version &version : versions)
+        largest = std::max(largest, parseProfile(version.yaml()).reservedShare);
+    return largest;
+}
+
+void allocation_service::followConfig()
+{
+    const std::uint64_t revision = m_state.revision();
+    if (revision == m_leader->revision)
+        return;
+    m_leader->revision = revision;
+    for (const service_spec &service : m_settings.deployment.services) {
+        const profile current = currentProfile(service);
+        profile &before = m_leader->profiles[service.name];
+        if (current.version == before.version)
+            continue;
+        share_change &share = m_leader->shares[service.name];
+        const double held = std::max(share.held, before.reservedShare);
+        share = {};
+        if (held > current.reservedShare) {
+            share.held = held;
+            share.number = ++m_changes;
+        }
+        before = current;
+        m_leader->rules[service.name] = rulesOf(service, current, share.held);
+        m_leader->slots->setRules(service.name, m_leader->rules[service.name]);
+    }
+}
+
+void allocation_service::followMembers(steady_time now)
+{
+    const std::uint64_t version = m_state.instancesVersion();
+    if (m_leader->membersVersion == version)
+        return;
+    m_leader->membersVersion = version;
+    std::vector<slot_member> members;
+    for (const wire::instance_record &record : m_state.instances()) {
+        if (record.removed())
+            continue;
+        slot_member &member = members.emplace_back();
+        member.instance = record.registered().instance();
+        member.region = record.registered().region();
+        member.failureDomain = record.registered().failure_domain();
+        if (record.has_position())
+            member.position = record.position();
+    }
+    m_leader->slots->setMembers(members, now);
+    for (const auto &[region, pools] : m_leader->foreign) {
+        std::vector<slot_member> near;
+        std::ranges::copy_if(members, std::back_inserter(near), [&](const slot_member &member) {
+            return member.region == region;
+        });
+        pools->setMembers(near, now);
+    }
+    m_leader->members = std::move(members);
+}
+
+void allocation_service::followDrains()
+{
+    const wall_time now = m_clock.wallNow();
+    const auto nowMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    std::set<std::pair<wire::target_kind, std::string>> active;
+    for (const wire::drain_record &drain : m_state.drains())
+        if (drain.start_ms() <= nowMs && (drain.end_ms() == 0 || nowMs < drain.end_ms()))
+            active.emplace(drain.kind(), drain.target());
+    for (const auto &[key, upstream] : m_upstreams) {
+        const std::string region = m_settings.deployment.regionOf(upstream->failureDomain);
+        const bool isDrained = active.contains({wire::TARGET_UPSTREAM, upstream->name})
+            || active.contains({wire::TARGET_FAILURE_DOMAIN, upstream->failureDomain})
+            || active.contains({wire::TARGET_REGION, region});
+        if (std::exchange(m_leader->drained[key], isDrained) != isDrained)
+            m_leader->slots->setDrained(key.first, key.second, isDrained);
+    }
+}
+
+const upstream_spec *allocation_service::findUpstream(const std::string &service,
+                                                      const std::string &upstream) const
+{
+    const auto found = m_upstreams.find({service, upstream});
+    return found == m_upstreams.end() ? nullptr : found->second;
+}
+
+// A member has applied a lower share once it reports the epochs of a reply that was made after the
+// change. A member that is still in an earlier term is not counted.
+void allocation_service::noteApplied(const wire::report_request &report)
+{
+    const auto last = m_leader->replies.find(report.instance());
+    if (last == m_leader->replies.end() || last->second.incarnation != report.incarnation())
+        return;
+    std::map<std::string, bool> hasApplied; // by service
+    for (const wire::upstream_demand &pool : report.upstreams()) {
+        bool &applied = hasApplied.try_emplace(pool.service(), true).first->second;
+        const auto granted = last->second.grants.find({pool.service(), pool.upstream()});
+        const allocation_epoch needed = granted == last->second.grants.end()
+            ? epochOfTerm(m_leader->term)
+            : granted->second;
+        applied = applied && pool.epoch() >= needed;
+    }
+    for (auto &[service, share] : m_leader->shares)
+        if (share.number != 0 && last->second.changes >= share.number && hasApplied[service])
+            share.applied.insert(report.instance());
+}
+
+void allocation_service::finishShareChanges()
+{
+    for (auto &[service, share] : m_leader->shares) {
+        if (share.number == 0
+            || !std::ranges::all_of(m_leader->members, [&](const slot_member &member) {
+                   return share.applied.contains(member.instance);
+               }))
+            continue;
+        share = {};
+        slot_rules &rules = m_leader->rules[service];
+        rules.heldReservedShare = 0;
+        m_leader->slots->setRules(service, rules);
+    }
+}
+
+void allocation_service::report(std::uint64_t term, const wire::report_request &report,
+                                wire::report_reply &reply)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!enter(term))
+        return;
+    const steady_time now = m_clock.now();
+    m_reports.add();
+    followConfig();
+    followMembers(now);
+    noteApplied(report);
+    addLoad(report, now);
+    allocate(report, reply, now);
+    allocateForeign(report, reply, now);
+    m_reportTime.add(m_clock.now() - now);
+}
+
+void allocation_service::addLoad(const wire::report_request &report, steady_time now)
+{
+    for (const wire::upstream_demand &pool : report.upstreams()) {
+        const upstream_spec *upstream = findUpstream(pool.service(), pool.upstream());
+        if (!upstream)
+            continue;
+        if (pool.started())
+            m_leader->slots->upstreamStarted(pool.service(), pool.upstream(), now);
+        const auto shift = m_leader->shifts.find(
+            {pool.service(), m_settings.deployment.regionOf(upstream->failureDomain)});
+        if (shift == m_leader->shifts.end())
+            continue;
+        region_load &load = shift->second.load;
+        load.answers += pool.answers();
+        load.sheds += pool.sheds();
+        load.latencySum += static_cast<double>(pool.answers()) * pool.latency_us();
+    }
+    for (const wire::foreign_demand &foreign : report.foreign()) {
+        const auto shift = m_leader->shifts.find({foreign.service(), report.region()});
+        if (shift != m_leader->shifts.end())
+            shift->second.claims[report.instance()]
+                = {foreign.held(), std::max(foreign.peak_in_flight(), foreign.in_flight()), now};
+    }
+}
+
+void allocation_service::allocate(const wire::report_request &report, wire::report_reply &reply,
+                                  steady_time now)
+{
+    slot_report claims = slotReport(report);
+    for (const wire::upstream_demand &pool : report.upstreams())
+        claims.pools.push_back(
+            {pool.service(), pool.upstream(), pool.held(), pool.in_flight(), pool.epoch()});
+    for (const wire::service_demand &demand : report.services())
+        claims.demands.push_back(
+            {demand.service(), demand.peak_in_flight(), demand.waiting(), demand.refused()});
+    const slot_reply granted = m_leader->slots->report(claims, now);
+    last_reply last;
+    last.changes = m_changes;
+    last.incarnation = report.incarnation();
+    for (const pool_grant &grant : granted.grants) {
+        wire::upstream_allocation &allocation = *reply.add_allocations();
+        allocation.set_service(grant.service);
+        allocation.set_upstream(grant.upstream);
+        allocation.set_slots(grant.grant.slots);
+        allocation.set_epoch(grant.grant.epoch);
+        allocation.set_reserved(grant.grant.reserved);
+        last.grants[{grant.service, grant.upstream}] = grant.grant.epoch;
+    }
+    // Bounded by the members: others are not accepted.
+    if (granted.isAccepted)
+        m_leader->replies[report.instance()] = std::move(last);
+}
+
+void allocation_service::allocateForeign(const wire::report_request &report,
+                                         wire::report_reply &reply, steady_time now)
+{
+    const auto pools = m_leader->foreign.find(report.region());
+    if (pools == m_leader->foreign.end() || report.foreign().empty())
+        return;
+    slot_report claims = slotReport(report);
+    for (const wire::foreign_demand &foreign : report.foreign()) {
+        const std::string name = foreignPoolName(foreign.service());
+        claims.pools.push_back(
+            {name, report.region(), foreign.held(), foreign.in_flight(), foreign.epoch()});
+        claims.demands.push_back(
+            {name, foreign.peak_in_flight(), foreign.waiting(), foreign.refused()});
+        const auto shift = m_leader->shifts.find({foreign.service(), report.region()});
+        if (shift == m_leader->shifts.end() || shift->second.isStarted)
+            continue;
+        std::uint32_t held = 0;
+        for (const auto &[instance, claim] : shift->second.claims)
+            held += claim.held;
+        const profile &rules = m_leader->profiles[foreign.service()];
+        const auto step = std::max(
+            1U, static_cast<std::uint32_t>(rules.shiftCap * shift->second.regionSlots));
+        shift->second.limit = held + step;
+        pools->second->setCapacity(name, report.region(), shift->second.limit);
+    }
+    for (const pool_grant &grant : pools->second->report(claims, now).grants) {
+        wire::foreign_limit &limit = *reply.add_foreign_limits();
+        limit.set_service(grant.service.substr(0, grant.service.rfind('/')));
+        limit.set_region(grant.upstream);
+        limit.set_slots(grant.grant.slots);
+        limit.set_epoch(grant.grant.epoch);
+    }
+}
+
+void allocation_service::sampleShifts(steady_time now)
+{
+    for (auto &[key, shift] : m_leader->shifts) {
+        const auto &[service, region] = key;
+        const auto pools = m_leader->foreign.find(region);
+        if (pools == m_leader->foreign.end())
+            continue;
+        const std::string name = foreignPoolName(service);
+        if (!shift.isStarted && !pools->second->isHandoverComplete(name))
+            continue;
+        shift_sample sample;
+        std::erase_if(shift.claims,
+                      [&](const auto &item) { return now - item.second.at > claimLifetime; });
+        for (const auto &[instance, claim] : shift.claims)
+            sample.foreignPeak += claim.peak;
+        sample.regionSlots = shift.regionSlots;
+        const region_load load = std::exchange(shift.load, {});
+        if (load.answers > 0) {
+            sample.latency = std::chrono::microseconds(
+                std::llround(load.latencySum / static_cast<double>(load.answers)));
+            sample.shedShare = static_cast<double>(load.sheds)
+                / static_cast<double>(load.answers + load.sheds);
+        }
+        shift.isStarted = true;
+        const shift_decision decision
+            = shift.governor.update(sample, m_leader->profiles[service], now);
+        if (decision.limit == shift.limit)
+            continue;
+        m_events.write(event_id::shift_limit_changed,
+                       {{"service", service},
+                        {"region", region},
+                        {"limit", decision.limit},
+                        {"before", shift.limit},
+                        {"foreign_peak", sample.foreignPeak},
+                        {"rule", decision.rule}});
+        shift.limit = decision.limit;
+        pools->second->setCapacity(name, region, std::min(decision.limit, shift.regionSlots));
+    }
+}
+
+void allocation_service::advance(std::uint64_t term)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!enter(term))
+        return;
+    const steady_time now = m_clock.now();
+    followConfig();
+    followMembers(now);
+    followDrains();
+    finishShareChanges();
+    m_leader->slots->advance(now);
+    for (const auto &[region, pools] : m_leader->foreign)
+        pools->advance(now);
+    sampleShifts(now);
+}
+
+void allocation_service::stop()
+{
+    const std::lock_guard lock(m_mutex);
+    m_leader.reset();
+}
+
+std::optional<std::uint32_t> allocation_service::foreignLimit(const std::string &service,
+                                                              const std::string &region) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_leader)
+        return std::nullopt;
+    const auto shift = m_leader->shifts.find({service, region});
+    if (shift == m_leader->shifts.end() || !shift->second.isStarted)
+        return std::nullopt;
+    return shift->second.limit;
+}
+
+allocation_service::service_status allocation_service::status(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    service_status result;
+    if (!m_leader || !m_leader->rules.contains(service))
+        return result;
+    for (const auto &[key, upstream] : m_upstreams) {
+        if (key.first != service)
+            continue;
+        const auto pool = m_leader->slots->status(key.first, key.second);
+        result.slots += pool.slots;
+        result.capacity += pool.capacity;
+        result.charged += pool.charged;
+    }
+    result.isHandoverComplete = m_leader->slots->isHandoverComplete(service);
+    return result;
+}
+
+} // namespace buckthorngrade
--- a/src/control/confirmation.h
+++ b/src/control/confirmation.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <mutex>
 #include <optional>
@@ -18,14 +19,23 @@
         std::uint64_t revision = 0;
         std::uint64_t term = 0;
         steady_time at; // no later than the confirmation itself
+        // Start of the confirmations of this term that follow each other without a gap. Within a
+        // shorter gap no majority can find out that there is no leader, because the shortest
+        // election timeout is as long.
+        steady_time unbrokenSince;
     };
+    static constexpr std::chrono::seconds longestGap{1};
 
-    // Keeps `newer` if it is later than what is known.
-    void update(const value &newer)
+    // Keeps `newer` if it is later than what is known. Its unbrokenSince is ignored.
+    void update(value newer)
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_value || m_value->at < newer.at)
-            m_value = newer;
+        if (m_value && m_value->at >= newer.at)
+            return;
+        const bool continues = m_value && m_value->term == newer.term
+            && newer.at - m_value->at <= longestGap;
+        newer.unbrokenSince = continues ? m_value->unbrokenSince : newer.at;
+        m_value = newer;
     }
 
     std::optional<value> read() const
--- a/src/control/confirmation_duty.cc
+++ b/src/control/confirmation_duty.cc
@@ -46,7 +46,7 @@
     const std::uint64_t term = m_log.view().term;
     auto future = m_log.confirmRead(confirmTimeout);
     if (future.wait_for(confirmTimeout * 2) == std::future_status::ready && future.get())
-        m_target.update({m_state.revision(), term, start});
+        m_target.update({m_state.revision(), term, start, {}});
 }
 
 void confirmation_duty::askLeader(replica_id leader)
@@ -64,7 +64,8 @@
     if (member->link->Probe(&context, request, &reply).ok() && reply.confirmed()
         && reply.replica() == leader)
         m_target.update({reply.confirmed_revision(), reply.term(),
-                         start - std::chrono::milliseconds(reply.confirmed_age_ms())});
+                         start - std::chrono::milliseconds(reply.confirmed_age_ms()),
+                         {}});
 }
 
 } // namespace buckthorngrade
--- a/src/control/control_instance.cc
+++ b/src/control/control_instance.cc
@@ -57,19 +57,29 @@
 control_instance::control_instance(const settings &config, replicator &log, control_state &state,
                                    feed_hub &hub, const clock_source &clock, event_log &events,
                                    metric_registry &metrics, const json_tracer &tracer,
-                                   const std::vector<grpc::Service *> &moreServices)
+                                   const std::vector<grpc::Service *> &moreServices,
+                                   member_control *members)
     : m_edits(log, clock, events, metrics)
-    , m_instanceService(config.cluster, log, m_edits, m_registry, m_confirmation, clock)
+    , m_registry(events)
+    , m_allocations(config, state, m_confirmation, clock, events, metrics)
+    , m_instanceService(config.cluster, log, m_edits, state, m_registry, m_allocations,
+                        m_confirmation, clock)
     , m_feedService(config.cluster, hub, log, events, metrics)
-    , m_admin(config, state, m_edits, log, m_registry, clock, metrics, tracer)
+    , m_admin(config, state, m_edits, log, members, m_registry, m_confirmation, clock, events,
+              metrics, tracer)
     , m_grpcServer(startGrpc(config.findMember(config.control.id)->grpcAddress,
                              withOwn(moreServices, m_instanceService, m_feedService)))
     , m_http(config.findMember(config.control.id)->httpAddress, m_admin, {})
     , m_confirmationDuty(config, log, state, clock, m_confirmation)
+    , m_membershipDuty(config, log, state, m_edits, m_registry, m_allocations, clock, events)
 {
     metrics.gauge("buckthorngrade_revision", "", [&state] { return state.revision(); });
     metrics.gauge("buckthorngrade_is_leader", "",
                   [&log] { return log.view().isLeader ? 1.0 : 0.0; });
+    metrics.gauge("buckthorngrade_request_records", "",
+                  [&state] { return static_cast<double>(state.requestCounts().records); });
+    metrics.gauge("buckthorngrade_request_record_bytes", "",
+                  [&state] { return static_cast<double>(state.requestCounts().bytes); });
     metrics.gauge("buckthorngrade_feed_subscribers", "",
                   [&hub] { return static_cast<double>(hub.subscriberCount()); });
 }
--- a/src/control/control_instance.h
+++ b/src/control/control_instance.h
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "base/trace.h"
 #include "control/admin_server.h"
+#include "control/allocation_service.h"
 #include "control/confirmation.h"
 #include "control/confirmation_duty.h"
 #include "control/control_state.h"
@@ -15,6 +16,8 @@
 #include "control/feed_service.h"
 #include "control/instance_registry.h"
 #include "control/instance_service.h"
+#include "control/member_control.h"
+#include "control/membership_duty.h"
 #include "model/settings.h"
 
 #include <grpcpp/server.h>
@@ -29,11 +32,12 @@
 {
 public:
     // All references must outlive this. `log` must drive `state`. `moreServices` are served on the
-    // same gRPC address. Throws control_error if an address can't be bound.
+    // same gRPC address; without `members` operators can't change the group. Throws control_error if an address can't be bound.
     control_instance(const settings &config, replicator &log, control_state &state, feed_hub &hub,
                      const clock_source &clock, event_log &events, metric_registry &metrics,
                      const json_tracer &tracer,
-                     const std::vector<grpc::Service *> &moreServices = {});
+                     const std::vector<grpc::Service *> &moreServices = {},
+                     member_control *members = nullptr);
     ~control_instance();
     control_instance(const control_instance &) = delete;
     control_instance &operator=(const control_instance &) = delete;
@@ -42,12 +46,14 @@
     edit_service m_edits;
     instance_registry m_registry;
     confirmation m_confirmation;
+    allocation_service m_allocations;
     instance_service m_instanceService;
     feed_service m_feedService;
     admin_server m_admin;
     std::unique_ptr<grpc::Server> m_grpcServer;
     http_listener m_http;
     confirmation_duty m_confirmationDuty;
+    membership_duty m_membershipDuty;
 };
 
 } // namespace buckthorngrade
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -16,12 +16,18 @@
 
 constexpr std::size_t maxRequestIdBytes = 64;
 constexpr std::size_t maxKeyBytes = 256;
+constexpr std::size_t maxNameBytes = 64;
 constexpr std::size_t maxTextBytes = 1024;
+constexpr std::size_t maxMessageBytes = 4096; // of a message that is kept with an outcome
+constexpr std::size_t maxRecordedBody = 8 * 1024;
+constexpr std::uint32_t maxPositions = 10'000;
 
 wire::edit_outcome failed(wire::edit_status status, std::string message)
 {
     wire::edit_outcome outcome;
     outcome.set_status(status);
+    if (message.size() > maxMessageBytes)
+        message.resize(maxMessageBytes);
     outcome.set_message(std::move(message));
     return outcome;
 }
@@ -41,6 +47,17 @@
     return outcome;
 }
 
+// Room for the response is set aside from the start, so that an outcome never has to be dropped.
+std::size_t bytesOf(const wire::request_record &record)
+{
+    return record.ByteSizeLong() + (record.finished() ? 0 : maxRecordedBody + maxTextBytes);
+}
+
+bool isValidName(const std::string &name)
+{
+    return !name.empty() && name.size() <= maxNameBytes;
+}
+
 // Digest of what an edit asks for. Protobuf serialization of these messages is deterministic: they
 // have no maps and no unknown fields.
 std::uint64_t digestOf(const wire::edit &edit)
@@ -77,9 +94,11 @@
     if (command.has_operator_edit())
         *result.mutable_edit() = applyEdit(index, command.operator_edit());
     else if (command.has_begin())
-        *result.mutable_begin() = beginRequest(command.begin());
+        *result.mutable_begin() = beginRequest(index, command.begin());
     else if (command.has_finish())
         result.set_finished(finishRequest(command.finish()));
+    else if (command.has_registration())
+        result.set_registered(registerInstance(index, command.registration()));
     return result.SerializeAsString();
 }
 
@@ -102,8 +121,9 @@
         return failed(wire::EDIT_REQUEST_EXPIRED,
                       "the request id is older than the retention window, so it is unknown whether "
                       "the edit was accepted; compare the current state and send a new edit");
-    if (*time > m_wallMs + m_limits.editRetention.count())
-        return failed(wire::EDIT_INVALID, "the request id lies too far in the future");
+    if (*time > m_wallMs + m_limits.maxClockSkew.count())
+        return failed(wire::EDIT_INVALID,
+                      "the time in the request id lies in the future; check this machine's clock");
     wire::edit_outcome outcome = applyNewEdit(index, edit);
     rememberEdit(edit, digest, outcome);
     return outcome;
@@ -131,6 +151,9 @@
 wire::edit_outcome control_state::putProfile(log_index index, const wire::edit &edit)
 {
     const wire::put_profile &put = edit.put();
+    if (put.yaml().size() > m_limits.maxProfileBytes)
+        return failed(wire::EDIT_INVALID, fmt::format("the profile is larger than {} bytes",
+                                                      m_limits.maxProfileBytes));
     try {
         if (parseProfile(put.yaml()).name != put.name())
             return failed(wire::EDIT_INVALID, "the profile's name differs from the one edited");
@@ -143,15 +166,13 @@
         auto outcome = failed(wire::EDIT_CONFLICT,
                               fmt::format("the current version is {}, the edit was made from {}",
                                           current, put.base_version()));
-        if (current != 0)
+        if (current != 0) {
+            // The outcome is kept with the request id; the text is found under its version.
             *outcome.mutable_winner() = found->second.back();
+            outcome.mutable_winner()->clear_yaml();
+        }
         return outcome;
     }
-    if (found == m_profiles.end()) {
-        if (m_profiles.size() >= m_limits.maxProfiles)
-            return failed(wire::EDIT_INVALID, "there are too many profiles");
-        found = m_profiles.try_emplace(put.name()).first;
-    }
     wire::profile_version version;
     version.set_name(put.name());
     version.set_version(current + 1);
@@ -162,9 +183,23 @@
     version.set_reason(edit.reason());
     version.set_wall_ms(m_wallMs);
     version.set_base_version(put.base_version());
+    const std::size_t bytes = version.ByteSizeLong();
+    const std::size_t replaced
+        = found == m_profiles.end() ? 0 : found->second.back().ByteSizeLong();
+    if (m_configBytes - replaced + bytes > m_limits.maxConfigBytes)
+        return failed(wire::EDIT_INVALID, "all profiles and drains together are too large");
+    if (found == m_profiles.end()) {
+        if (m_profiles.size() >= m_limits.maxProfiles)
+            return failed(wire::EDIT_INVALID, "there are too many profiles");
+        if (m_historyBytes + bytes > m_limits.maxHistoryBytes)
+            return failed(wire::EDIT_INVALID, "the profiles' history is too large");
+        found = m_profiles.try_emplace(put.name()).first;
+    } else if (!makeHistoryRoom(found->second, bytes)) {
+        return failed(wire::EDIT_INVALID, "the profiles' history is too large");
+    }
+    m_configBytes += bytes - replaced;
+    m_historyBytes += bytes;
     found->second.push_back(version);
-    if (found->second.size() > m_limits.maxVersionsPerProfile)
-        found->second.pop_front();
     auto outcome = accepted(index);
     outcome.set_version(version.version());
     wire::config_change change;
@@ -174,12 +209,26 @@
     return outcome;
 }
 
+// Drops this profile's oldest versions to make room for one of `bytes`; the current one stays.
+bool control_state::makeHistoryRoom(std::deque<wire::profile_version> &versions, std::size_t bytes)
+{
+    while (versions.size() > 1
+           && (versions.size() >= m_limits.maxVersionsPerProfile
+               || m_historyBytes + bytes > m_limits.maxHistoryBytes)) {
+        m_historyBytes -= versions.front().ByteSizeLong();
+        versions.pop_front();
+    }
+    return m_historyBytes + bytes <= m_limits.maxHistoryBytes;
+}
+
 wire::edit_outcome control_state::announceDrain(log_index index, const wire::edit &edit)
 {
     const wire::announce_drain &announced = edit.drain();
     if (!wire::target_kind_IsValid(announced.kind()) || announced.kind() == wire::TARGET_UNSPECIFIED
         || announced.target().empty() || announced.target().size() > maxTextBytes)
         return failed(wire::EDIT_INVALID, "a drain needs a kind and a target");
+    if (announced.start_ms() < 0 || announced.end_ms() < 0)
+        return failed(wire::EDIT_INVALID, "a drain can't start or end before 1970");
     if (announced.end_ms() != 0 && announced.end_ms() <= announced.start_ms())
         return failed(wire::EDIT_INVALID, "the drain ends before it starts");
     if (m_drains.size() >= m_limits.maxDrains)
@@ -194,6 +243,9 @@
     drain.set_end_ms(announced.end_ms());
     drain.set_revision(index);
     drain.set_request_id(edit.request_id());
+    if (m_configBytes + drain.ByteSizeLong() > m_limits.maxConfigBytes)
+        return failed(wire::EDIT_INVALID, "all profiles and drains together are too large");
+    m_configBytes += drain.ByteSizeLong();
     m_drains[drain.id()] = drain;
     auto outcome = accepted(index);
     outcome.set_drain_id(drain.id());
@@ -210,6 +262,7 @@
     if (found == m_drains.end())
         return failed(wire::EDIT_NOT_FOUND,
                       fmt::format("there is no drain '{}'", edit.cancel().id()));
+    m_configBytes -= found->second.ByteSizeLong();
     wire::config_change change;
     change.set_revision(index);
     *change.mutable_drain() = std::move(found->second);
@@ -224,10 +277,24 @@
 
 wire::edit_outcome control_state::removeInstance(log_index index, const wire::edit &edit)
 {
-    const wire::remove_instance &removed = edit.remove();
-    if (removed.instance().empty() || removed.instance().size() > maxTextBytes)
-        return failed(wire::EDIT_INVALID, "the instance to remove is not named");
-    m_removed[removed.instance()] = removed;
+    const std::string &name = edit.remove().instance();
+    const auto found = m_instances.find(name);
+    if (found == m_instances.end())
+        return failed(wire::EDIT_NOT_FOUND, fmt::format("there is no instance '{}'", name));
+    wire::instance_record &record = found->second;
+    const std::uint64_t latest = record.registered().incarnation();
+    const std::uint64_t asked = edit.remove().incarnation();
+    if (asked != 0 && asked < latest)
+        return failed(wire::EDIT_CONFLICT,
+                      fmt::format("a later process of the instance '{}' has registered", name));
+    if (!record.removed())
+        record.set_removed_ms(m_wallMs);
+    record.set_removed(true);
+    record.set_removed_incarnation(std::max({asked, latest, record.removed_incarnation()}));
+    m_instancesVersion = index;
+    wire::remove_instance &removed = m_removed[name];
+    removed.set_instance(name);
+    removed.set_incarnation(record.removed_incarnation());
     wire::config_change change;
     change.set_revision(index);
     *change.mutable_removed() = removed;
@@ -235,27 +302,132 @@
     return accepted(index);
 }
 
-wire::begin_outcome control_state::beginRequest(const wire::begin_request &begin)
+// Returns false if the process may not take part.
+bool control_state::registerInstance(log_index index, const wire::register_instance &registration)
 {
-    if (begin.key().empty() || begin.key().size() > maxKeyBytes)
-        return began(wire::BEGIN_EXPIRED_KEY);
-    const request_key key(begin.service(), begin.key());
-    const auto found = m_requests.find(key);
-    if (found == m_requests.end()) {
-        const auto time = timeOfRequestId(begin.key());
-        if (time && *time < m_wallMs - m_limits.requestRetention.count())
-            return began(wire::BEGIN_EXPIRED_KEY);
-        if (m_requests.size() >= m_limits.maxRequests)
-            return began(wire::BEGIN_FULL);
-        wire::request_record record;
-        *record.mutable_begin() = begin;
-        record.set_wall_ms(m_wallMs);
-        m_requests.emplace(key, std::move(record));
-        m_requestOrder.emplace_back(m_wallMs, key);
-        return began(wire::BEGIN_PROCEED);
+    const std::string &name = registration.instance();
+    if (!isValidName(name) || registration.region().size() > maxNameBytes
+        || registration.failure_domain().size() > maxNameBytes
+        || registration.positions() > maxPositions)
+        return false;
+    const auto found = m_instances.find(name);
+    if (found == m_instances.end()) {
+        if (m_instances.size() >= m_limits.maxInstances) {
+            const auto old = std::ranges::find_if(m_instances, [this](const auto &item) {
+                return item.second.removed()
+                    && item.second.removed_ms() + m_limits.positionHold.count() <= m_wallMs;
+            });
+            if (old == m_instances.end())
+                return false;
+            publishCleared(index, old->second);
+            m_instances.erase(old);
+        }
+        wire::instance_record &record = m_instances[name];
+        *record.mutable_registered() = registration;
+        assignPosition(record);
+        m_instancesVersion = index;
+        return true;
     }
-    wire::request_record &record = found->second;
-    if (record.begin().digest() != begin.digest())
+    wire::instance_record &record = found->second;
+    if (record.removed() && registration.incarnation() <= record.removed_incarnation())
+        return false;
+    if (registration.incarnation() <= record.registered().incarnation())
+        return registration.incarnation() == record.registered().incarnation();
+    const bool isMoved = record.registered().region() != registration.region();
+    *record.mutable_registered() = registration;
+    if (isMoved)
+        record.clear_has_position();
+    if (!record.has_position())
+        assignPosition(record);
+    m_instancesVersion = index;
+    if (record.removed()) {
+        record.clear_removed();
+        record.clear_removed_ms();
+        publishCleared(index, record);
+    }
+    return true;
+}
+
+void control_state::publishCleared(log_index index, const wire::instance_record &record)
+{
+    wire::config_change change;
+    change.set_revision(index);
+    change.mutable_removed()->set_instance(record.registered().instance());
+    change.mutable_removed()->set_incarnation(record.removed_incarnation());
+    change.mutable_removed()->set_cleared(true);
+    m_removed.erase(record.registered().instance());
+    publish(change);
+}
+
+// Gives the lowest position of the region that no other instance has, if there is one.
+void control_state::assignPosition(wire::instance_record &record)
+{
+    std::map<std::uint32_t, wire::instance_record *> holders;
+    for (auto &[name, other] : m_instances)
+        if (&other != &record && other.has_position()
+            && other.registered().region() == record.registered().region())
+            holders[other.position()] = &other;
+    for (std::uint32_t position = 0; position < record.registered().positions(); ++position) {
+        const auto holder = holders.find(position);
+        if (holder != holders.end()) {
+            wire::instance_record &other = *holder->second;
+            if (!other.removed()
+                || other.removed_ms() + m_limits.positionHold.count() > m_wallMs)
+                continue;
+            other.clear_has_position();
+            other.clear_position();
+        }
+        record.set_has_position(true);
+        record.set_position(position);
+        return;
+    }
+}
+
+bool control_state::isSuperseded(const std::string &instance, std::uint64_t incarnation) const
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return false;
+    const wire::instance_record &record = found->second;
+    return record.registered().incarnation() > incarnation
+        || (record.removed() && incarnation <= record.removed_incarnation());
+}
+
+wire::begin_outcome control_state::beginRequest(log_index index, const wire::begin_request &begin)
+{
+    if (begin.key().empty() || begin.key().size() > maxKeyBytes || !isValidName(begin.service())
+        || !isValidName(begin.instance()) || begin.digest().size() > maxNameBytes)
+        return began(wire::BEGIN_INVALID);
+    const request_key key(begin.service(), begin.key());
+    const bool isWithdrawn = begin.attempt() != 0
+        && m_withdrawn.contains({key, begin.instance(), begin.incarnation(), begin.attempt()});
+    if (isWithdrawn || isSuperseded(begin.instance(), begin.incarnation()))
+        return began(wire::BEGIN_SUPERSEDED);
+    if (const auto found = m_requests.find(key); found != m_requests.end())
+        return answerKnown(found->second, begin);
+    const auto time = timeOfRequestId(begin.key());
+    if (time && *time < m_wallMs - m_limits.requestRetention.count())
+        return began(wire::BEGIN_EXPIRED_KEY);
+    wire::request_record record;
+    *record.mutable_begin() = begin;
+    record.mutable_begin()->set_deadline_ms(
+        std::clamp<std::int64_t>(begin.deadline_ms(), 0, m_limits.maxDeadline.count()));
+    record.set_wall_ms(m_wallMs);
+    record.set_index(index);
+    if (m_requests.size() >= m_limits.maxRequests
+        || m_requestBytes + bytesOf(record) > m_limits.maxRequestBytes)
+        return began(wire::BEGIN_FULL);
+    m_requestBytes += bytesOf(record);
+    m_requests.emplace(key, std::move(record));
+    m_requestOrder.emplace(index, key);
+    return began(wire::BEGIN_PROCEED);
+}
+
+wire::begin_outcome control_state::answerKnown(const wire::request_record &record,
+                                               const wire::begin_request &begin) const
+{
+    const wire::begin_request &first = record.begin();
+    if (first.digest() != begin.digest())
         return began(wire::BEGIN_DIFFERENT_CONTENT);
     if (record.finished()) {
         auto outcome = began(record.unknown() ? wire::BEGIN_UNKNOWN : wire::BEGIN_RECORDED);
@@ -263,30 +435,77 @@
             *outcome.mutable_response() = record.response();
         return outcome;
     }
-    const bool overdue = m_wallMs > record.wall_ms() + record.begin().deadline_ms();
-    return began(overdue ? wire::BEGIN_UNKNOWN : wire::BEGIN_IN_PROGRESS);
+    if (m_wallMs > record.wall_ms() + first.deadline_ms()
+        || isSuperseded(first.instance(), first.incarnation()))
+        return began(wire::BEGIN_UNKNOWN);
+    const bool isResend = begin.attempt() != 0 && first.attempt() == begin.attempt()
+        && first.instance() == begin.instance() && first.incarnation() == begin.incarnation();
+    return began(isResend ? wire::BEGIN_PROCEED : wire::BEGIN_IN_PROGRESS);
 }
 
 bool control_state::finishRequest(const wire::finish_request &finish)
 {
-    const auto found = m_requests.find({finish.service(), finish.key()});
-    if (found == m_requests.end())
-        return false;
-    wire::request_record &record = found->second;
-    if (record.finished() || record.begin().instance() != finish.instance()
-        || record.begin().incarnation() != finish.incarnation())
-        return false;
+    const request_key key(finish.service(), finish.key());
+    const auto found = m_requests.find(key);
+    const bool isOwn = found != m_requests.end()
+        && found->second.begin().instance() == finish.instance()
+        && found->second.begin().incarnation() == finish.incarnation()
+        && found->second.begin().attempt() == finish.attempt();
     if (finish.outcome() == wire::finish_request::WITHDRAWN) {
-        m_requests.erase(found);
-        return true;
+        if (isOwn && found->second.finished())
+            return false;
+        // A copy of the BeginRequest may still be under way, also if no record is there.
+        rememberWithdrawn(finish);
+        if (isOwn)
+            eraseRequest(found->second.index());
+        return isOwn || finish.attempt() != 0;
     }
+    if (!isOwn)
+        return false;
+    wire::request_record &record = found->second;
+    if (record.finished())
+        return true; // sent again after a lost answer
+    m_requestBytes -= bytesOf(record);
     record.set_finished(true);
     record.set_unknown(finish.outcome() != wire::finish_request::RAN);
-    if (!record.unknown())
+    if (!record.unknown()) {
         *record.mutable_response() = finish.response();
+        if (record.response().body().size() > maxRecordedBody) {
+            record.mutable_response()->mutable_body()->resize(maxRecordedBody);
+            record.mutable_response()->set_body_complete(false);
+        }
+        if (record.response().content_type().size() > maxTextBytes)
+            record.mutable_response()->clear_content_type();
+    }
+    m_requestBytes += bytesOf(record);
     return true;
 }
 
+void control_state::rememberWithdrawn(const wire::finish_request &finish)
+{
+    if (finish.attempt() == 0 || finish.key().size() > maxKeyBytes
+        || finish.service().size() > maxNameBytes || finish.instance().size() > maxNameBytes)
+        return;
+    withdrawn_attempt attempt({finish.service(), finish.key()}, finish.instance(),
+                              finish.incarnation(), finish.attempt());
+    if (!m_withdrawn.insert(attempt).second)
+        return;
+    m_withdrawnOrder.push_back(std::move(attempt));
+    if (m_withdrawnOrder.size() > m_limits.maxWithdrawn) {
+        m_withdrawn.erase(m_withdrawnOrder.front());
+        m_withdrawnOrder.pop_front();
+    }
+}
+
+void control_state::eraseRequest(std::uint64_t index)
+{
+    const auto order = m_requestOrder.find(index);
+    const auto found = m_requests.find(order->second);
+    m_requestBytes -= bytesOf(found->second);
+    m_requests.erase(found);
+    m_requestOrder.erase(order);
+}
+
 void control_state::rememberEdit(const wire::edit &edit, std::uint64_t digest,
                                  const wire::edit_outcome &outcome)
 {
@@ -313,13 +532,10 @@
         m_edits.erase(oldest);
         m_editOrder.pop_front();
     }
+    const std::int64_t requestsSince = m_wallMs - m_limits.requestRetention.count();
     while (!m_requestOrder.empty()
-           && m_requestOrder.front().first < m_wallMs - m_limits.requestRetention.count()) {
-        const auto found = m_requests.find(m_requestOrder.front().second);
-        if (found != m_requests.end() && found->second.wall_ms() == m_requestOrder.front().first)
-            m_requests.erase(found);
-        m_requestOrder.pop_front();
-    }
+           && m_requests.at(m_requestOrder.begin()->second).wall_ms() < requestsSince)
+        eraseRequest(m_requestOrder.begin()->first);
 }
 
 void control_state::publish(const wire::config_change &change)
@@ -345,10 +561,19 @@
         *all.add_removed() = removed;
     for (const auto &id : m_editOrder)
         *all.add_edits() = m_edits.at(id);
-    for (const auto &[wall, key] : m_requestOrder)
-        if (const auto found = m_requests.find(key);
-            found != m_requests.end() && found->second.wall_ms() == wall)
-            *all.add_requests() = found->second;
+    for (const auto &[index, key] : m_requestOrder)
+        *all.add_requests() = m_requests.at(key);
+    for (const auto &[name, record] : m_instances)
+        *all.add_instances() = record;
+    all.set_instances_version(m_instancesVersion);
+    for (const auto &[key, instance, incarnation, attempt] : m_withdrawnOrder) {
+        wire::withdrawn_request &withdrawn = *all.add_withdrawn();
+        withdrawn.set_service(key.first);
+        withdrawn.set_key(key.second);
+        withdrawn.set_instance(instance);
+        withdrawn.set_incarnation(incarnation);
+        withdrawn.set_attempt(attempt);
+    }
     return all.SerializeAsString();
 }
 
@@ -368,10 +593,31 @@
     m_editOrder.clear();
     m_requests.clear();
     m_requestOrder.clear();
-    for (const auto &version : all.versions())
+    m_instances.clear();
+    m_withdrawn.clear();
+    m_withdrawnOrder.clear();
+    m_requestBytes = 0;
+    m_historyBytes = 0;
+    m_configBytes = 0;
+    for (const auto &version : all.versions()) {
         m_profiles[version.name()].push_back(version);
-    for (const auto &drain : all.drains())
+        m_historyBytes += version.ByteSizeLong();
+    }
+    for (const auto &[name, versions] : m_profiles)
+        m_configBytes += versions.back().ByteSizeLong();
+    for (const auto &drain : all.drains()) {
         m_drains[drain.id()] = drain;
+        m_configBytes += drain.ByteSizeLong();
+    }
+    m_instancesVersion = all.instances_version();
+    for (const auto &record : all.instances())
+        m_instances[record.registered().instance()] = record;
+    for (const auto &withdrawn : all.withdrawn()) {
+        m_withdrawnOrder.emplace_back(request_key(withdrawn.service(), withdrawn.key()),
+                                      withdrawn.instance(), withdrawn.incarnation(),
+                                      withdrawn.attempt());
+        m_withdrawn.insert(m_withdrawnOrder.back());
+    }
     for (const auto &removed : all.removed())
         m_removed[removed.instance()] = removed;
     for (const auto &edit : all.edits()) {
@@ -381,7 +627,8 @@
     for (const auto &record : all.requests()) {
         const request_key key(record.begin().service(), record.begin().key());
         m_requests[key] = record;
-        m_requestOrder.emplace_back(record.wall_ms(), key);
+        m_requestOrder.emplace(record.index(), key);
+        m_requestBytes += bytesOf(record);
     }
     if (m_listener)
         m_listener->configReplaced(buildConfig());
@@ -457,4 +704,26 @@
     return result;
 }
 
+std::vector<wire::instance_record> control_state::instances() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<wire::instance_record> result;
+    result.reserve(m_instances.size());
+    for (const auto &[name, record] : m_instances)
+        result.push_back(record);
+    return result;
+}
+
+std::uint64_t control_state::instancesVersion() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_instancesVersion;
+}
+
+control_state::request_counts control_state::requestCounts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return {m_requests.size(), m_requestBytes};
+}
+
 } // namespace buckthorngrade
--- a/src/control/edit_service.cc
+++ b/src/control/edit_service.cc
@@ -83,6 +83,13 @@
     return submit(std::move(command));
 }
 
+command_result edit_service::submitRegistration(const wire::register_instance &registration)
+{
+    wire::command command;
+    *command.mutable_registration() = registration;
+    return submit(std::move(command));
+}
+
 command_result edit_service::submit(wire::command command)
 {
     const steady_time start = m_clock.now();
--- a/src/control/edit_service.h
+++ b/src/control/edit_service.h
@@ -32,6 +32,7 @@
     command_result submitEdit(const wire::edit &edit);
     command_result submitBegin(const wire::begin_request &begin);
     command_result submitFinish(const wire::finish_request &finish);
+    command_result submitRegistration(const wire::register_instance &registration);
 
 private:
     command_result submit(wire::command command);
--- a/src/control/feed_hub.cc
+++ b/src/control/feed_hub.cc
@@ -25,7 +25,10 @@
         else
             m_drains[change.drain().id()] = change.drain();
     } else if (change.has_removed()) {
-        m_removed[change.removed().instance()] = change.removed();
+        if (change.removed().cleared())
+            m_removed.erase(change.removed().instance());
+        else
+            m_removed[change.removed().instance()] = change.removed();
     }
     m_changes.push_back(
         {std::make_shared<const wire::config_change>(change), change.ByteSizeLong()});
--- a/src/control/instance_registry.cc
+++ b/src/control/instance_registry.cc
@@ -1,53 +1,239 @@
 #include "control/instance_registry.h"
 
+#include <algorithm>
 #include <array>
+#include <utility>
 
 namespace buckthorngrade {
 
 namespace {
 
-constexpr std::chrono::milliseconds suspectedAfter{3'000};
-constexpr std::chrono::milliseconds deadAfter{10'000};
 constexpr std::size_t maxInstances = 10'000;
+constexpr std::size_t maxObservers = 8; // kept for one instance
+constexpr std::chrono::seconds observationLifetime{3};
+// The lifetime of a cached lookup, and two report periods until every entry instance has the
+// instance table that leaves the instance out.
+constexpr std::chrono::seconds leftOutEverywhere{5};
+
+// Share of the slots held that is in use.
+double loadOf(const wire::report_request &report)
+{
+    double held = 0;
+    double used = 0;
+    for (const wire::upstream_demand &upstream : report.upstreams()) {
+        held += upstream.held();
+        used += upstream.in_flight();
+    }
+    return held > 0 ? used / held : 0;
+}
 
 } // namespace
 
-void instance_registry::record(const wire::report_request &report, steady_time now)
+instance_registry::instance_registry(event_log &events)
+    : m_events(events)
+{ }
+
+void instance_registry::beginTerm(std::uint64_t term,
+                                  const std::vector<wire::instance_record> &registered,
+                                  steady_time now)
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_instances.find(report.instance());
-    if (found == m_instances.end() && m_instances.size() >= maxInstances)
+    if (term == m_term)
         return;
-    known_instance &known = m_instances[report.instance()];
-    if (report.incarnation() < known.status.incarnation)
-        return; // a late report of an earlier process
+    m_term = term;
+    m_instances.clear();
+    applyRegistered(registered, now);
+}
+
+void instance_registry::setRegistered(const std::vector<wire::instance_record> &registered,
+                                      steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    applyRegistered(registered, now);
+}
+
+void instance_registry::applyRegistered(const std::vector<wire::instance_record> &registered,
+                                        steady_time now)
+{
+    for (const wire::instance_record &record : registered) {
+        const wire::register_instance &registration = record.registered();
+        // An incarnation of 0 accepts the first report of whichever process is there.
+        const auto [found, added] = m_instances.try_emplace(registration.instance(), 0, now);
+        known_instance &known = found->second;
+        if (added) {
+            known.status.name = registration.instance();
+            known.status.region = registration.region();
+            known.status.failureDomain = registration.failure_domain();
+            known.leftOutSince = now;
+        }
+        known.registeredIncarnation = registration.incarnation();
+        known.registeredRegion = registration.region();
+        known.isRemoved = record.removed();
+        known.removedIncarnation = record.removed_incarnation();
+    }
+}
+
+void instance_registry::setPlatformList(std::optional<platform_list> list)
+{
+    const std::lock_guard lock(m_mutex);
+    m_platformList = std::move(list);
+}
+
+bool instance_registry::record(const wire::report_request &report, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto found = m_instances.find(report.instance());
+    if (found == m_instances.end()) {
+        if (m_instances.size() >= maxInstances)
+            return false;
+        found = m_instances.try_emplace(report.instance(), report.incarnation(), now).first;
+        found->second.leftOutSince = now;
+    }
+    known_instance &known = found->second;
+    if (report.incarnation() < known.registeredIncarnation
+        || (known.isRemoved && report.incarnation() <= known.removedIncarnation)
+        || !known.rule.recordReport(report.incarnation(), now))
+        return false;
+    known.hasReported = true;
     known.status.name = report.instance();
     known.status.incarnation = report.incarnation();
     known.status.address = report.http_address();
     known.status.region = report.region();
     known.status.failureDomain = report.failure_domain();
     known.status.revision = report.revision();
-    known.leaving = report.leaving();
-    known.ready = report.ready();
-    known.lastReport = now;
+    known.status.load = loadOf(report);
+    known.isLeaving = report.leaving();
+    known.isReady = report.ready();
+    observe(report, now);
+    decide(known, now);
+    return true;
+}
+
+void instance_registry::observe(const wire::report_request &report, steady_time now)
+{
+    for (const wire::peer_observation &peer : report.peers()) {
+        const auto found = m_instances.find(peer.instance());
+        if (found == m_instances.end() || peer.instance() == report.instance())
+            continue;
+        auto &observations = found->second.observations;
+        std::erase_if(observations,
+                      [&](const auto &item) { return now - item.second.at > observationLifetime; });
+        if (observations.size() < maxObservers || observations.contains(report.instance()))
+            observations[report.instance()] = {peer.reachable(), now};
+    }
+}
+
+observer_opinion instance_registry::opinionOn(const known_instance &known, steady_time now) const
+{
+    observer_opinion result = observer_opinion::none_asked;
+    for (const auto &[observer, seen] : known.observations) {
+        if (now - seen.at > observationLifetime)
+            continue;
+        if (seen.isReachable)
+            return observer_opinion::reachable;
+        result = observer_opinion::unreachable;
+    }
+    return result;
+}
+
+void instance_registry::decide(known_instance &known, steady_time now)
+{
+    suspicion_input input;
+    input.observers = opinionOn(known, now);
+    input.isRemovedByOperator
+        = known.isRemoved && known.status.incarnation <= known.removedIncarnation;
+    input.isReady = known.hasReported && known.isReady;
+    input.isLeaving = known.isLeaving;
+    if (m_platformList) {
+        const auto listed = m_platformList->isLeaving.find(known.status.name);
+        input.isListed = listed != m_platformList->isLeaving.end();
+        input.isLeaving = input.isLeaving || (input.isListed && listed->second);
+    }
+    suspicion_decision decision = known.rule.decide(input, now);
+    known.stateRule = decision.rule;
+    // The removal is in force once it is committed.
+    if (decision.state == instance_state::removed && !input.isRemovedByOperator)
+        decision.state = instance_state::dead;
+    if (decision.state == instance_state::live)
+        known.leftOutSince.reset();
+    else if (!known.leftOutSince)
+        known.leftOutSince = now;
+    if (decision.state == known.state)
+        return;
+    m_events.write(event_id::instance_state_changed,
+                   {{"entry", known.status.name},
+                    {"incarnation", known.status.incarnation},
+                    {"from", toString(known.state)},
+                    {"to", toString(decision.state)},
+                    {"rule", decision.rule}});
+    known.state = decision.state;
 }
 
-std::vector<instance_status> instance_registry::list(steady_time now) const
+std::vector<instance_status> instance_registry::list(steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     std::vector<instance_status> result;
+    result.reserve(m_instances.size());
+    for (auto &[name, known] : m_instances) {
+        decide(known, now);
+        known.status.state = known.state;
+        result.push_back(known.status);
+    }
+    return result;
+}
+
+instance_registry::in_force instance_registry::inForce(std::uint64_t accepted, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    in_force result;
+    result.revision = accepted;
+    for (auto &[name, known] : m_instances) {
+        decide(known, now);
+        if (known.state == instance_state::removed || known.state == instance_state::dead
+            || known.status.revision >= accepted
+            || (known.leftOutSince && now - *known.leftOutSince > leftOutEverywhere))
+            continue;
+        result.revision = std::min(result.revision, known.status.revision);
+        result.behind.push_back(name);
+    }
+    return result;
+}
+
+std::vector<wire::register_instance> instance_registry::unregistered(std::size_t limit) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<wire::register_instance> result;
     for (const auto &[name, known] : m_instances) {
-        instance_status status = known.status;
-        const auto silence = now - known.lastReport;
-        if (silence > deadAfter)
-            status.state = instance_state::dead;
-        else if (silence > suspectedAfter)
-            status.state = instance_state::suspected;
-        else if (known.leaving)
-            status.state = instance_state::leaving;
-        else
-            status.state = known.ready ? instance_state::live : instance_state::not_ready;
-        result.push_back(status);
+        if (result.size() >= limit)
+            break;
+        // A process that was removed does not come back by itself.
+        const std::uint64_t before = std::max(known.registeredIncarnation,
+                                              known.isRemoved ? known.removedIncarnation : 0);
+        if (!known.hasReported || known.status.incarnation <= before)
+            continue;
+        wire::register_instance &added = result.emplace_back();
+        added.set_instance(name);
+        added.set_incarnation(known.status.incarnation);
+        added.set_region(known.status.region);
+        added.set_failure_domain(known.status.failureDomain);
+    }
+    return result;
+}
+
+std::vector<wire::remove_instance> instance_registry::removable(std::size_t limit, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<wire::remove_instance> result;
+    for (auto &[name, known] : m_instances) {
+        if (result.size() >= limit)
+            break;
+        decide(known, now);
+        if (known.isRemoved || known.registeredIncarnation == 0
+            || known.stateRule != "unlisted-and-silent")
+            continue;
+        wire::remove_instance &removed = result.emplace_back();
+        removed.set_instance(name);
+        removed.set_incarnation(known.registeredIncarnation);
     }
     return result;
 }
--- a/src/control/instance_service.h
+++ b/src/control/instance_service.h
@@ -2,11 +2,14 @@
 
 #include "agreement/replicator.h"
 #include "base/clock.h"
+#include "control/allocation_service.h"
 #include "control/confirmation.h"
 #include "control/edit_service.h"
 #include "control/instance_registry.h"
 #include "link.grpc.pb.h"
 
+#include <memory>
+#include <mutex>
 #include <string>
 
 namespace buckthorngrade {
@@ -17,7 +20,8 @@
 public:
     // All references must outlive this.
     instance_service(std::string cluster, const replicator &log, edit_service &edits,
-                     instance_registry &registry, const confirmation &confirmed,
+                     const control_state &state, instance_registry &registry,
+                     allocation_service &allocations, const confirmation &confirmed,
                      const clock_source &clock);
 
     grpc::Status Report(grpc::ServerContext *context, const wire::report_request *request,
@@ -30,12 +34,19 @@
                        wire::probe_reply *reply) override;
 
 private:
+    void addInstances(wire::report_reply &reply);
+
     std::string m_cluster;
     const replicator &m_log;
     edit_service &m_edits;
+    const control_state &m_state;
     instance_registry &m_registry;
+    allocation_service &m_allocations;
     const confirmation &m_confirmed;
     const clock_source &m_clock;
+    std::mutex m_tableMutex;
+    steady_time m_tableTime;
+    std::shared_ptr<const wire::report_reply> m_table;
 };
 
 } // namespace buckthorngrade
--- /dev/null
+++ b/src/control/member_control.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "agreement/replica.h"
+
+#include <future>
+
+namespace buckthorngrade {
+
+// The members of the control group, for operators. Thread-safe.
+class member_control
+{
+public:
+    virtual ~member_control() = default;
+    virtual replica::membership_view membership() const = 0;
+    virtual std::future<membership_result> addMember(replica_id id, bool staysLearner) = 0;
+    virtual std::future<membership_result> removeMember(replica_id id) = 0;
+    virtual std::future<membership_result> replaceMember(replica_id oldId, replica_id newId) = 0;
+};
+
+class replica_member_control final : public member_control
+{
+public:
+    // `log` must outlive this.
+    explicit replica_member_control(replica &log)
+        : m_log(log)
+    { }
+
+    replica::membership_view membership() const override { return m_log.membership(); }
+    std::future<membership_result> addMember(replica_id id, bool staysLearner) override
+    {
+        return m_log.addMember(id, staysLearner);
+    }
+    std::future<membership_result> removeMember(replica_id id) override
+    {
+        return m_log.removeMember(id);
+    }
+    std::future<membership_result> replaceMember(replica_id oldId, replica_id newId) override
+    {
+        return m_log.replaceMember(oldId, newId);
+    }
+
+private:
+    replica &m_log;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/membership_duty.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "agreement/replicator.h"
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/timer_service.h"
+#include "control/allocation_service.h"
+#include "control/control_state.h"
+#include "control/edit_service.h"
+#include "control/instance_registry.h"
+#include "model/settings.h"
+
+#include <atomic>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace buckthorngrade {
+
+// The leader's periodic work on entry instances. Each second the allocations follow time and
+// configuration. A thread of its own, since it waits for commits, reads the platform's list,
+// registers new processes and removes instances that are gone.
+class membership_duty
+{
+public:
+    // All references must outlive this.
+    membership_duty(const settings &config, const replicator &log, const control_state &state,
+                    edit_service &edits, instance_registry &registry,
+                    allocation_service &allocations, const clock_source &clock, event_log &events);
+    ~membership_duty();
+    membership_duty(const membership_duty &) = delete;
+    membership_duty &operator=(const membership_duty &) = delete;
+
+private:
+    void advance();
+    void run();
+    void runOnce();
+    void readList();
+    void registerNew();
+    void removeGone();
+
+    const settings &m_settings;
+    const replicator &m_log;
+    const control_state &m_state;
+    edit_service &m_edits;
+    instance_registry &m_registry;
+    allocation_service &m_allocations;
+    const clock_source &m_clock;
+    event_log &m_events;
+    std::string m_listFault;
+    steady_time m_nextList;
+    std::atomic<bool> m_stopping = false;
+    timer_service m_timers;
+    timer_subscription m_advance;
+    std::thread m_thread;
+};
+
+} // namespace buckthorngrade
--- a/src/model/settings.cc
+++ b/src/model/settings.cc
@@ -108,6 +108,8 @@
         region.failureDomains = map.names("failure_domains");
         for (const std::string &domain : region.failureDomains)
             m_failureDomains.check(map, "failure_domains", domain);
+        region.entryInstances = static_cast<std::uint32_t>(
+            map.integer("entry_instances", 1, 10'000, region.entryInstances));
         m_settings.deployment.regions.push_back(region);
     }
 
--- a/src/model/topology.h
+++ b/src/model/topology.h
@@ -11,6 +11,9 @@
 {
     std::string name;
     std::vector<std::string> failureDomains;
+    // Entry instances that have a part of the region's reserved slots; later ones get leased slots
+    // only.
+    std::uint32_t entryInstances = 4;
 };
 
 // One direction of the link between two regions, shared by all traffic.
