--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -1,20 +1,24 @@
-#include "cli/run_control.h"
-
 #include "agreement/posix_file_system.h"
 #include "agreement/replica.h"
 #include "base/error.h"
+#include "cli/command_line.h"
+#include "cli/common_flags.h"
+#include "cli/run.h"
 #include "cli/signals.h"
 #include "control/control_instance.h"
 #include "control/member_control.h"
 #include "control/peer_link.h"
 
 #include <fmt/format.h>
+#include <gflags/gflags.h>
 
 #include <algorithm>
 #include <future>
 #include <iterator>
 #include <memory>
 
+DEFINE_bool(initialize, false, "make a new data folder for a founding member of the control group");
+
 namespace buckthorngrade {
 
 namespace {
@@ -58,12 +62,13 @@
 
 } // namespace
 
-int runControl(const std::filesystem::path &config, bool initialize)
+int runControl(const command_arguments &arguments)
 {
+    requireArguments(arguments, 0, "");
     blockStopSignals();
-    const settings loaded = loadSettings(config);
+    const settings loaded = loadSettings(requiredConfig());
     if (!loaded.hasControl)
-        throw settings_error(fmt::format("{}: has no control section", config.string()));
+        throw settings_error(fmt::format("{}: has no control section", FLAGS_config));
     const system_clock_source clock;
     stderr_event_log events(loaded.instance, loaded.logLevel);
     metric_registry metrics;
@@ -76,7 +81,7 @@
     std::future<std::string> failed = failure.get_future();
     peer_link link(linkSettings(loaded), events, metrics);
     const auto log
-        = openReplica(loaded, initialize, files, state, link, clock, events, metrics);
+        = openReplica(loaded, FLAGS_initialize, files, state, link, clock, events, metrics);
     peer_link_service deliver(
         loaded.cluster, loaded.control.id,
         [&log](std::string bytes) { log->receive(std::move(bytes)); }, events);
