--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -188,18 +188,19 @@
         = found == m_profiles.end() ? 0 : found->second.back().ByteSizeLong();
     if (m_configBytes - replaced + bytes > m_limits.maxConfigBytes)
         return failed(wire::EDIT_INVALID, "all profiles and drains together are too large");
-    if (found == m_profiles.end()) {
-        if (m_profiles.size() >= m_limits.maxProfiles)
-            return failed(wire::EDIT_INVALID, "there are too many profiles");
-        if (m_historyBytes + bytes > m_limits.maxHistoryBytes)
-            return failed(wire::EDIT_INVALID, "the profiles' history is too large");
-        found = m_profiles.try_emplace(put.name()).first;
-    } else if (!makeHistoryRoom(found->second, bytes)) {
+    if (found == m_profiles.end() && m_profiles.size() >= m_limits.maxProfiles)
+        return failed(wire::EDIT_INVALID, "there are too many profiles");
+    if (!makeHistoryRoom(bytes))
         return failed(wire::EDIT_INVALID, "the profiles' history is too large");
-    }
+    if (found == m_profiles.end())
+        found = m_profiles.try_emplace(put.name()).first;
     m_configBytes += bytes - replaced;
     m_historyBytes += bytes;
     found->second.push_back(version);
+    if (found->second.size() > m_limits.maxVersionsPerProfile) {
+        m_historyBytes -= found->second.front().ByteSizeLong();
+        found->second.pop_front();
+    }
     auto outcome = accepted(index);
     outcome.set_version(version.version());
     wire::config_change change;
@@ -209,16 +210,18 @@
     return outcome;
 }
 
-// Drops this profile's oldest versions to make room for one of `bytes`; the current one stays.
-bool control_state::makeHistoryRoom(std::deque<wire::profile_version> &versions, std::size_t bytes)
+// Drops the oldest versions of the longest histories; current versions stay.
+bool control_state::makeHistoryRoom(std::size_t bytes)
 {
-    while (versions.size() > 1
-           && (versions.size() >= m_limits.maxVersionsPerProfile
-               || m_historyBytes + bytes > m_limits.maxHistoryBytes)) {
-        m_historyBytes -= versions.front().ByteSizeLong();
-        versions.pop_front();
+    while (m_historyBytes + bytes > m_limits.maxHistoryBytes) {
+        const auto longest = std::ranges::max_element(
+            m_profiles, {}, [](const auto &item) { return item.second.size(); });
+        if (longest == m_profiles.end() || longest->second.size() < 2)
+            return false;
+        m_historyBytes -= longest->second.front().ByteSizeLong();
+        longest->second.pop_front();
     }
-    return m_historyBytes + bytes <= m_limits.maxHistoryBytes;
+    return true;
 }
 
 wire::edit_outcome control_state::announceDrain(log_index index, const wire::edit &edit)
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -46,7 +46,7 @@
     std::size_t maxWithdrawn = 10'000;
     std::chrono::milliseconds maxDeadline = std::chrono::hours(1);
     std::size_t maxVersionsPerProfile = 1'000;
-    std::size_t maxHistoryBytes = 128U << 20; // of all versions
+    std::size_t maxHistoryBytes = 128U << 20; // of all versions; the longest history is cut first
     std::size_t maxProfiles = 10'000;
     std::size_t maxProfileBytes = 64U << 10; // of one profile's text
     std::size_t maxDrains = 10'000;
@@ -112,7 +112,7 @@
                                     const wire::begin_request &begin) const;
     void rememberWithdrawn(const wire::finish_request &finish);
     void eraseRequest(std::uint64_t index);
-    bool makeHistoryRoom(std::deque<wire::profile_version> &versions, std::size_t bytes);
+    bool makeHistoryRoom(std::size_t bytes);
     bool finishRequest(const wire::finish_request &finish);
     void rememberEdit(const wire::edit &edit, std::uint64_t digest,
                       const wire::edit_outcome &outcome);
