--- a/tests/integration/control_failure_test.cc
+++ b/tests/integration/control_failure_test.cc
@@ -348,10 +348,11 @@
         for (int i = 0; i < 20; ++i)
             group.change("fast");
         const std::string repaired = group.followerOf(system.leader());
+        std::string before = incarnationOf(system, repaired);
         system.kill(repaired);
         empty(system, repaired);
         system.start(repaired);
-        waitUntil("the repaired instance votes", [&] { return isVoter(system, repaired); });
+        waitForNewVoter(system, repaired, before);
         group.change("fast");
         const std::string second = system.leader();
         system.kill(second);
@@ -363,6 +364,7 @@
         // Again, with the second loss right after the restart: with one voter left, nothing may be
         // accepted until it is back, and nothing may be lost.
         const std::string leader = system.leader();
+        before = incarnationOf(system, repaired);
         system.kill(repaired);
         empty(system, repaired);
         const auto names = system.controlNames();
@@ -378,7 +380,7 @@
         CPPUNIT_ASSERT_MESSAGE(refused.body, refused.status != 200);
         system.start(third);
         system.waitForLeader();
-        waitUntil("the repaired instance votes", [&] { return isVoter(system, repaired); });
+        waitForNewVoter(system, repaired, before);
         // The edit that was refused as unknown may have been committed; it keeps its version.
         const object_ptr status = group.status(system.leader());
         CPPUNIT_ASSERT(status->getValue<std::uint64_t>("revision") >= group.revision());
@@ -449,6 +451,7 @@
         for (int i = 0; i < 10; ++i)
             group.change("fast");
         const std::string name = group.followerOf(system.leader());
+        const std::string before = incarnationOf(system, name);
         CPPUNIT_ASSERT_EQUAL(0, system.stop(name));
         std::filesystem::path largest;
         std::uintmax_t bytes = 0;
@@ -465,7 +468,7 @@
         CPPUNIT_ASSERT(system.log(name).find("data_folder_corrupt") != std::string::npos);
         empty(system, name);
         system.start(name);
-        waitUntil("the repaired instance votes", [&] { return isVoter(system, name); });
+        waitForNewVoter(system, name, before);
         group.verify();
     }
 
@@ -554,7 +557,8 @@
             std::filesystem::remove_all(entry.path());
     }
 
-    static bool isVoter(const deployment &system, const std::string &name)
+    // The member as the leader sees it; null if there is no leader.
+    static object_ptr memberOf(const deployment &system, const std::string &name)
     {
         const object_ptr status = system.leaderStatus();
         const auto members = status ? status->getArray("members") : nullptr;
@@ -562,10 +566,27 @@
         for (std::size_t i = 0; members && i < members->size(); ++i) {
             const auto member = members->getObject(static_cast<unsigned>(i));
             if (member->getValue<std::string>("id") == id)
-                return member->getValue<std::string>("role") == "voter"
-                    && member->optValue("recently_heard", false);
+                return member;
         }
-        return false;
+        return nullptr;
+    }
+
+    static std::string incarnationOf(const deployment &system, const std::string &name)
+    {
+        const object_ptr member = memberOf(system, name);
+        return member ? member->optValue<std::string>("incarnation", "") : "";
+    }
+
+    // Until the process with the new data folder votes; the old one stays a voter for a while.
+    static void waitForNewVoter(const deployment &system, const std::string &name,
+                                const std::string &before)
+    {
+        waitUntil(name + " votes again", [&] {
+            const object_ptr member = memberOf(system, name);
+            return member && member->getValue<std::string>("role") == "voter"
+                && member->optValue("recently_heard", false)
+                && member->getValue<std::string>("incarnation") != before;
+        });
     }
 };
 
