--- a/src/base/http_listener.cc
+++ b/src/base/http_listener.cc
@@ -1,94 +1,286 @@
 #include "base/http_listener.h"
 
-#include "base/error.h"
+#include "base/poco_exchange.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Runnable.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <optional>
+
 namespace buckthorngrade {
 
 namespace {
 
-class request_handler final : public Poco::Net::HTTPRequestHandler
+constexpr std::chrono::milliseconds waitSlice{200};
+constexpr std::chrono::milliseconds acceptSlice{50};
+constexpr int requestTimeout = 408;
+constexpr int internalError = 500;
+
+steady_time now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// Counts something for as long as it lives.
+class count_guard
 {
 public:
-    explicit request_handler(http_handler &handler)
-        : m_handler(handler)
-    { }
-    void handleRequest(Poco::Net::HTTPServerRequest &request,
-                       Poco::Net::HTTPServerResponse &response) override
+    explicit count_guard(std::atomic<std::uint32_t> &count)
+        : m_count(count)
     {
-        m_handler.handle(request, response);
+        ++m_count;
     }
+    ~count_guard() { --m_count; }
+    count_guard(const count_guard &) = delete;
+    count_guard &operator=(const count_guard &) = delete;
 
 private:
-    http_handler &m_handler;
+    std::atomic<std::uint32_t> &m_count;
 };
 
-class handler_factory final : public Poco::Net::HTTPRequestHandlerFactory
+} // namespace
+
+class http_listener::connection final : public Poco::Runnable
 {
 public:
-    explicit handler_factory(http_handler &handler)
-        : m_handler(handler)
+    connection(http_listener &owner, const Poco::Net::StreamSocket &socket)
+        : m_owner(owner)
+        , m_socket(socket)
+        , m_stream(socket)
+        , m_client(socket.peerAddress().host().toString())
     { }
-    Poco::Net::HTTPRequestHandler *
-    createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+
+    void run() override
     {
-        return new request_handler(m_handler);
+        try {
+            bool isFirst = true;
+            while (waitForRequest(isFirst) && serveOne())
+                isFirst = false;
+            if (!m_isAborted)
+                m_stream.closeGently();
+        } catch (const error &) { // the connection broke
+            m_stream.abort();
+        } catch (const Poco::Exception &) {
+            m_stream.abort();
+        }
+        --m_owner.m_open;
+        m_isDone = true;
+    }
+    bool isDone() const { return m_isDone; }
+    // Wakes the connection's thread by ending both directions.
+    void breakOff()
+    {
+        try {
+            m_socket.shutdown();
+        } catch (const Poco::Exception &) { // already closed
+        }
     }
 
 private:
-    http_handler &m_handler;
+    // Waits for the first byte of a request. False if the connection is to be closed.
+    bool waitForRequest(bool isFirst)
+    {
+        const count_guard waiting(m_owner.m_waiting);
+        const steady_time start = now();
+        const auto &options = m_owner.m_options;
+        const auto limit = isFirst ? options.readTimeout : options.idleTimeout;
+        while (m_stream.buffered().empty()) {
+            const bool crowded = m_owner.m_waiting * 2 > options.maxConnections;
+            if (now() - start >= (crowded ? std::min(limit, crowdedTimeout) : limit))
+                return false;
+            if (m_stream.waitReadable(now() + waitSlice)) {
+                if (!m_stream.fill(now() + waitSlice))
+                    return false;
+            } else if (m_owner.m_isStopping) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // Reads one head. Slow clients count as waiting, and share the bound on those.
+    http_head readHead()
+    {
+        const steady_time start = now();
+        const auto limit = m_owner.m_options.readTimeout;
+        std::optional<std::size_t> size = findHeadEnd(m_stream.buffered());
+        if (size)
+            return takeHead(*size);
+        const count_guard waiting(m_owner.m_waiting);
+        while (!size) {
+            const bool crowded = m_owner.m_waiting * 2 > m_owner.m_options.maxConnections;
+            const auto allowed = crowded ? std::min(limit, crowdedTimeout) : limit;
+            if (now() - start >= allowed)
+                throw http_error(requestTimeout, "the head did not arrive in time");
+            try {
+                if (!m_stream.fill(std::min(start + allowed, now() + waitSlice)))
+                    throw socket_error(socket_error::kind::closed, "the head ended early");
+            } catch (const socket_error &failure) {
+                if (!failure.isTimeout())
+                    throw;
+            }
+            size = findHeadEnd(m_stream.buffered());
+        }
+        return takeHead(*size);
+    }
+
+    http_head takeHead(std::size_t size)
+    {
+        http_head head = parseRequestHead(m_stream.buffered().substr(0, size));
+        m_stream.consume(size);
+        return head;
+    }
+
+    // False if the connection is to be closed.
+    bool serveOne()
+    {
+        const count_guard active(m_owner.m_active);
+        const auto &options = m_owner.m_options;
+        http_head head;
+        try {
+            head = readHead();
+        } catch (const http_error &failure) {
+            reject(failure);
+            return false;
+        }
+        http_exchange exchange(m_stream, std::move(head), m_client, options.readTimeout,
+                               options.sendTimeout, !m_owner.m_isClosing && !m_owner.m_isStopping);
+        try {
+            m_owner.m_handler.handle(exchange);
+        } catch (const http_error &failure) {
+            if (m_owner.m_options.onInvalid)
+                m_owner.m_options.onInvalid(failure.what());
+            answerFailure(exchange, failure.status(), failure.what());
+        } catch (const socket_error &) {
+            throw;
+        } catch (const std::exception &) {
+            answerFailure(exchange, internalError, "internal error");
+        }
+        if (!exchange.isFinished() && !exchange.isAborted())
+            exchange.abort();
+        m_isAborted = exchange.isAborted();
+        return exchange.keepAlive();
+    }
+
+    static void answerFailure(http_exchange &exchange, int status, const std::string &reason)
+    {
+        exchange.setClosing();
+        if (exchange.isHeadSent())
+            exchange.abort();
+        else
+            exchange.reply(status, {{"Content-Type", "text/plain"}}, reason + "\n");
+    }
+
+    void reject(const http_error &failure)
+    {
+        if (m_owner.m_options.onInvalid)
+            m_owner.m_options.onInvalid(failure.what());
+        const std::string body = std::string(failure.what()) + "\n";
+        m_stream.write(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n"
+                                   "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                                   failure.status(), reasonOf(failure.status()), body.size(), body),
+                       now() + waitSlice);
+    }
+
+    http_listener &m_owner;
+    Poco::Net::StreamSocket m_socket;
+    socket_stream m_stream;
+    const std::string m_client;
+    bool m_isAborted = false;
+    std::atomic<bool> m_isDone = false;
 };
 
-Poco::Timespan toTimespan(std::chrono::milliseconds value)
+http_listener::http_listener(const std::string &address, http_handler &handler,
+                             const http_listener_options &options)
+    : m_options(options)
+    , m_adapter(std::make_unique<poco_exchange_adapter>(handler))
+    , m_handler(*m_adapter)
+    , m_pool(2, static_cast<int>(options.maxConnections) + 2)
 {
-    return {static_cast<Poco::Timespan::TimeDiff>(value.count()) * 1000};
+    open(address);
 }
 
-} // namespace
-
-http_listener::http_listener(const std::string &address, http_handler &handler,
+http_listener::http_listener(const std::string &address, exchange_handler &handler,
                              const http_listener_options &options)
-    : m_pool(2, static_cast<int>(options.maxConnections) + 1)
+    : m_options(options)
+    , m_handler(handler)
+    , m_pool(2, static_cast<int>(options.maxConnections) + 2)
+{
+    open(address);
+}
+
+void http_listener::open(const std::string &address)
 {
+    constexpr int backlog = 512;
     try {
-        Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(address), true, false);
-        socket.listen(128);
-        Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-        params->setMaxThreads(static_cast<int>(options.maxConnections));
-        params->setMaxQueued(64);
-        params->setKeepAlive(true);
-        params->setMaxKeepAliveRequests(0);
-        params->setKeepAliveTimeout(toTimespan(options.idleTimeout));
-        params->setTimeout(toTimespan(options.readTimeout));
-        m_server = std::make_unique<Poco::Net::HTTPServer>(new handler_factory(handler), m_pool,
-                                                           socket, params);
-        m_server->start();
+        m_socket.bind(Poco::Net::SocketAddress(address), true, false);
+        m_socket.listen(backlog);
+        m_address = m_socket.address().toString();
     } catch (const Poco::Exception &failure) {
         throw error(fmt::format("can't listen on {}: {}", address, failure.displayText()));
     }
+    m_acceptThread = std::thread([this] { acceptLoop(); });
 }
 
 http_listener::~http_listener()
 {
-    m_server->stopAll(true);
-    m_pool.stopAll();
+    stopAccepting();
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &item : m_connections)
+            item->breakOff();
+    }
+    m_pool.joinAll();
 }
 
-std::string http_listener::address() const
+void http_listener::stopAccepting()
 {
-    return m_server->socket().address().toString();
+    m_isStopping = true;
+    if (m_acceptThread.joinable())
+        m_acceptThread.join();
 }
 
-void http_listener::stopAccepting()
+void http_listener::acceptLoop()
+{
+    const auto slice = Poco::Timespan(std::chrono::microseconds(acceptSlice).count());
+    while (!m_isStopping) {
+        try {
+            if (m_socket.poll(slice, Poco::Net::Socket::SELECT_READ))
+                accept();
+        } catch (const Poco::Exception &) {
+            // The client left before it was accepted, or descriptors are used up for now.
+            std::this_thread::sleep_for(acceptSlice);
+        } catch (const error &) { // the client left
+        }
+    }
+    m_socket.close();
+}
+
+void http_listener::accept()
 {
-    m_server->stop();
+    Poco::Net::StreamSocket socket = m_socket.acceptConnection();
+    const std::lock_guard lock(m_mutex);
+    m_connections.remove_if([](const auto &item) { return item->isDone(); });
+    if (m_open >= m_options.maxConnections) {
+        constexpr std::string_view refusal
+            = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nBuckthorn-Outcome: not-run\r\n"
+              "Content-Length: 0\r\nConnection: close\r\n\r\n";
+        socket_stream stream(socket);
+        stream.write(refusal, now());
+        return;
+    }
+    const auto added = std::make_shared<connection>(*this, socket);
+    m_connections.push_back(added);
+    ++m_open;
+    try {
+        m_pool.start(*added);
+    } catch (const Poco::Exception &) { // a thread that has just finished is not free yet
+        --m_open;
+        m_connections.pop_back();
+    }
 }
 
 void sendBody(Poco::Net::HTTPServerResponse &response, int status, const std::string &contentType,
--- a/src/cli/run_entry.cc
+++ b/src/cli/run_entry.cc
@@ -18,10 +18,12 @@
     stderr_event_log events(loaded.instance, loaded.logLevel);
     metric_registry metrics;
     const json_tracer tracer(loaded.instance, {loaded.traceFile, loaded.traceSample});
-    const entry_instance instance(loaded, clock, events, metrics, tracer);
-    events.write(event_id::process_started, {{"role", "entry"}, {"version", BG_VERSION}});
+    entry_instance instance(loaded, clock, events, metrics, tracer);
+    events.write(event_id::process_started,
+                 {{"role", "entry"}, {"version", BG_VERSION}, {"address", instance.address()}});
     const int number = waitForStopSignal();
     events.write(event_id::process_stopping, {{"signal", number}});
+    instance.drain([] { return waitForStopSignal(std::chrono::seconds(1)); });
     return 0;
 }
 
--- a/src/cli/signals.cc
+++ b/src/cli/signals.cc
@@ -32,4 +32,12 @@
     return number;
 }
 
+bool waitForStopSignal(std::chrono::milliseconds limit)
+{
+    const sigset_t set = stopSignals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+    const timespec time{seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
+    return sigtimedwait(&set, nullptr, &time) > 0;
+}
+
 } // namespace buckthorngrade
--- a/src/entry/config_store.cc
+++ b/src/entry/config_store.cc
@@ -81,7 +81,10 @@
         if (!change.drain().cancelled())
             next->drains.push_back(drainFromWire(change.drain()));
     } else if (change.has_removed()) {
-        next->removedInstances.insert(change.removed().instance());
+        if (change.removed().cleared())
+            next->removedInstances.erase(change.removed().instance());
+        else
+            next->removedInstances.insert(change.removed().instance());
     }
     publish(std::move(next));
     return true;
--- /dev/null
+++ b/src/entry/decision_log.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/clock.h"
+#include "steering/decision_record.h"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthorngrade {
+
+// The latest decisions of this instance, in bounded memory. Refusals, retries, ejections and shifts
+// are kept apart from ordinary decisions, so that load does not evict them. Ordinary decisions are
+// all kept up to `ordinaryPerSecond`; beyond that they are only counted. Thread-safe.
+class decision_log
+{
+public:
+    struct bounds
+    {
+        std::size_t records = 8'192; // in each of the two rings
+        std::size_t bytes = 8UL * 1024 * 1024; // of JSON text, in each of the two rings
+        std::uint32_t ordinaryPerSecond = 64;
+    };
+    // `clock` must outlive this.
+    decision_log(std::string instance, const clock_source &clock);
+    decision_log(std::string instance, const clock_source &clock, const bounds &limits);
+
+    std::string nextId();
+    // Whether an ordinary decision made now is to be recorded. If not, count() it.
+    bool admitOrdinary();
+    void count(decision_kind kind, std::string_view rule);
+    // Keeps and counts the record.
+    void add(const decision_record &record);
+
+    // JSON of the records with this id, oldest first.
+    std::vector<std::string> find(const std::string &id) const;
+
+    struct rule_count
+    {
+        decision_kind kind = decision_kind::lookup;
+        std::string rule;
+        std::uint64_t decisions = 0;
+    };
+    // Since the start, by kind and rule.
+    std::vector<rule_count> counts() const;
+    // Records kept now, and the bytes of their text.
+    std::size_t size() const;
+    std::size_t bytes() const;
+
+private:
+    struct kept
+    {
+        std::uint64_t number = 0;
+        std::string json;
+    };
+    struct ring
+    {
+        std::deque<kept> records;
+        std::size_t bytes = 0;
+    };
+    // Rules are literals of the decision code; the bound only guards against a mistake there.
+    static constexpr std::size_t maxRules = 256;
+
+    const std::string m_instance;
+    const clock_source &m_clock;
+    const bounds m_limits;
+    std::atomic<std::uint64_t> m_nextNumber = 1;
+    mutable std::mutex m_mutex;
+    ring m_ordinary;
+    ring m_important;
+    steady_time m_second;
+    std::uint32_t m_admitted = 0; // ordinary records in the second that began at m_second
+    std::map<std::pair<decision_kind, std::string>, std::uint64_t, std::less<>> m_counts;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/entry_status.cc
@@ -0,0 +1,97 @@
+#include "entry/entry_status.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <sstream>
+
+namespace buckthorngrade {
+
+namespace {
+
+Poco::JSON::Object::Ptr upstreamObject(const service_balancer::upstream_status &item)
+{
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("upstream", item.name);
+    object->set("slots", item.view.slots);
+    object->set("in_flight", item.view.inFlight);
+    if (item.view.latency)
+        object->set("latency_us", static_cast<std::int64_t>(item.view.latency->count()));
+    if (item.view.reportedLoad)
+        object->set("load", *item.view.reportedLoad);
+    const std::string_view reason = ineligibleReason(item.view);
+    object->set("takes_requests", reason.empty());
+    if (!reason.empty())
+        object->set("reason", std::string(reason));
+    return object;
+}
+
+} // namespace
+
+std::string entry_status::notReadyReason() const
+{
+    if (m_from.reports.isLeaving())
+        return "the instance is leaving";
+    if (m_from.store.current()->revision == 0)
+        return "no configuration has arrived";
+    if (!m_from.fresh.isReady())
+        return "the configuration is not confirmed as current";
+    return {};
+}
+
+std::string entry_status::toJson() const
+{
+    const steady_time now = m_from.clock.now();
+    const freshness_decision fresh = m_from.fresh.decide();
+    const std::string obstacle = notReadyReason();
+    Poco::JSON::Object object;
+    object.set("instance", m_from.config.instance);
+    object.set("incarnation", m_incarnation);
+    object.set("region", m_from.config.region());
+    object.set("failure_domain", m_from.config.failureDomain);
+    object.set("revision", m_from.store.current()->revision);
+    object.set("freshness", std::string(toString(fresh.state)));
+    object.set("freshness_rule", std::string(fresh.rule));
+    object.set("ready", obstacle.empty());
+    if (!obstacle.empty())
+        object.set("not_ready_reason", obstacle);
+    object.set("leaving", m_from.reports.isLeaving());
+    object.set("leader", m_from.leader.leader());
+    object.set("in_flight", m_from.ledger.totalInFlight());
+    object.set("slots_from_allocations", !m_from.ledger.isFallback());
+    object.set("claim_outcomes_pending", static_cast<std::uint64_t>(m_from.claims.pending()));
+
+    const auto view = m_from.directory.current();
+    if (!view->instances.empty())
+        object.set("directory_age_ms",
+                   static_cast<std::int64_t>(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(now - view->received)
+                           .count()));
+    Poco::JSON::Array::Ptr services = new Poco::JSON::Array;
+    for (const auto &balancer : m_from.balancers) {
+        Poco::JSON::Object::Ptr service = new Poco::JSON::Object;
+        service->set("service", balancer->spec().name);
+        service->set("profile", balancer->spec().profile);
+        service->set("profile_version", balancer->activeProfile(*m_from.store.current()).version);
+        Poco::JSON::Array::Ptr upstreams = new Poco::JSON::Array;
+        for (const auto &item : balancer->status())
+            upstreams->add(upstreamObject(item));
+        service->set("upstreams", upstreams);
+        services->add(service);
+    }
+    object.set("services", services);
+    Poco::JSON::Array::Ptr decisions = new Poco::JSON::Array;
+    for (const auto &item : m_from.decisions.counts()) {
+        Poco::JSON::Object::Ptr count = new Poco::JSON::Object;
+        count->set("kind", std::string(toString(item.kind)));
+        count->set("rule", item.rule);
+        count->set("decisions", item.decisions);
+        decisions->add(count);
+    }
+    object.set("decisions", decisions);
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
+} // namespace buckthorngrade
--- a/src/entry/feed_client.cc
+++ b/src/entry/feed_client.cc
@@ -14,11 +14,13 @@
 } // namespace
 
 feed_client::feed_client(const settings &config, std::uint64_t incarnation,
-                         const control_channels &channels, config_store &store, event_log &events)
+                         const control_channels &channels, config_store &store, leader_hint &leader,
+                         event_log &events)
     : m_settings(config)
     , m_incarnation(incarnation)
     , m_channels(channels)
     , m_store(store)
+    , m_leader(leader)
     , m_events(events)
     // Instances start at different members, so that the feeds are spread.
     , m_member(std::hash<std::string>{}(config.instance) % channels.members().size())
@@ -86,7 +88,7 @@
 
 bool feed_client::handle(const wire::feed_update &update)
 {
-    m_leader = update.leader();
+    m_leader.observe(update.leader());
     try {
         const bool grew = update.has_full() ? m_store.replace(update.full())
             : update.has_change()           ? m_store.apply(update.change())
--- a/src/entry/feed_client.h
+++ b/src/entry/feed_client.h
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "entry/config_store.h"
+#include "entry/leader_hint.h"
 #include "link/control_channels.h"
 #include "model/settings.h"
 
@@ -19,13 +20,11 @@
 public:
     // All references must outlive this.
     feed_client(const settings &config, std::uint64_t incarnation, const control_channels &channels,
-                config_store &store, event_log &events);
+                config_store &store, leader_hint &leader, event_log &events);
     ~feed_client();
     feed_client(const feed_client &) = delete;
     feed_client &operator=(const feed_client &) = delete;
 
-    // Replica id of the leader as last heard; 0: unknown.
-    std::uint32_t leader() const { return m_leader; }
     // Index into control_channels::members() of the instance in use.
     std::size_t memberInUse() const { return m_member; }
 
@@ -38,8 +37,8 @@
     const std::uint64_t m_incarnation;
     const control_channels &m_channels;
     config_store &m_store;
+    leader_hint &m_leader;
     event_log &m_events;
-    std::atomic<std::uint32_t> m_leader = 0;
     std::atomic<std::size_t> m_member = 0;
     std::atomic<bool> m_stopping = false;
     std::mutex m_mutex;
--- /dev/null
+++ b/src/entry/load_poller.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/duty_thread.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "entry/service_balancer.h"
+#include "entry/upstream_pool.h"
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace buckthorngrade {
+
+// Reads the load endpoints of the upstreams, one after the other, about once a second. What they
+// say only biases selection; an endpoint that is missing, late or wrong has no other effect.
+class load_poller
+{
+public:
+    // All references must outlive this.
+    load_poller(const std::vector<std::unique_ptr<service_balancer>> &balancers,
+                upstream_pool &pool, event_log &events, metric_registry &metrics);
+
+private:
+    void run();
+    bool poll(service_balancer &balancer, std::size_t upstream);
+
+    const std::vector<std::unique_ptr<service_balancer>> &m_balancers;
+    upstream_pool &m_pool;
+    metric_counter &m_failures;
+    duty_thread m_thread;
+};
+
+// The load in a load endpoint's answer, 0 to 1; nothing if there is no usable one.
+std::optional<double> parseLoad(std::string_view json);
+
+} // namespace buckthorngrade
--- a/src/entry/report_client.cc
+++ b/src/entry/report_client.cc
@@ -1,7 +1,7 @@
 #include "entry/report_client.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 
 namespace buckthorngrade {
 
@@ -9,8 +9,6 @@
 
 constexpr std::chrono::milliseconds reportPeriod{1'000};
 constexpr std::chrono::milliseconds callTimeout{800};
-// How long a confirmation of the revision in force is valid; see docs/design.md, 5.3.
-constexpr std::chrono::milliseconds currentFor{3'000};
 
 instance_state stateFromWire(wire::instance_health health)
 {
@@ -32,6 +30,7 @@
 
 instance_status statusFromWire(const wire::instance_entry &entry)
 {
+    constexpr double percent = 100;
     instance_status status;
     status.name = entry.instance();
     status.incarnation = entry.incarnation();
@@ -40,90 +39,152 @@
     status.failureDomain = entry.failure_domain();
     status.state = stateFromWire(entry.health());
     status.revision = entry.revision();
-    status.load = entry.load_percent() / 100.0;
+    status.load = entry.load_percent() / percent;
     return status;
 }
 
 } // namespace
 
 report_client::report_client(const settings &config, std::uint64_t incarnation,
-                             const control_channels &channels, const feed_client &feed,
-                             const config_store &store, instance_directory &directory,
-                             const clock_source &clock)
+                             const control_channels &channels, leader_hint &leader,
+                             const freshness_client &fresh, const config_store &store,
+                             const targets &state, const clock_source &clock, event_log &events,
+                             metric_registry &metrics, const json_tracer &tracer)
     : m_settings(config)
     , m_incarnation(incarnation)
     , m_channels(channels)
-    , m_feed(feed)
+    , m_leader(leader)
+    , m_fresh(fresh)
     , m_store(store)
-    , m_directory(directory)
+    , m_targets(state)
     , m_clock(clock)
-    , m_thread([this] { run(); })
+    , m_events(events)
+    , m_failures(metrics.counter("buckthorngrade_reports_failed_total"))
+    , m_tracer(tracer)
+    , m_thread(
+          "report", reportPeriod, [this] { run(); }, events)
 { }
 
-report_client::~report_client()
-{
-    m_stopping = true;
-    m_thread.join();
-}
-
-steady_time report_client::currentUntil() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_currentUntil;
-}
-
 void report_client::run()
 {
-    while (!m_stopping) {
-        const steady_time start = m_clock.now();
-        probe(m_channels.members()[m_feed.memberInUse()]);
-        report();
-        while (!m_stopping && m_clock.now() - start < reportPeriod)
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-}
-
-void report_client::probe(const control_channels::member &member)
-{
-    const steady_time start = m_clock.now();
-    grpc::ClientContext context;
-    context.set_wait_for_ready(true);
-    context.set_deadline(std::chrono::system_clock::now() + callTimeout);
-    wire::probe_request request;
-    request.set_cluster(m_settings.cluster);
-    wire::probe_reply reply;
-    if (!member.link->Probe(&context, request, &reply).ok() || !reply.confirmed()
-        || m_store.current()->revision < reply.confirmed_revision())
+    const auto *leader = m_channels.find(m_leader.leader());
+    if (leader && report(*leader))
         return;
-    const std::lock_guard lock(m_mutex);
-    m_currentUntil = std::max(
-        m_currentUntil, start - std::chrono::milliseconds(reply.confirmed_age_ms()) + currentFor);
+    // Another member knows a newer leader.
+    const auto &members = m_channels.members();
+    const auto &other = members[m_nextMember++ % members.size()];
+    if (!leader || other.id != leader->id)
+        if (report(other))
+            return;
+    m_failures.add();
 }
 
-void report_client::report()
+wire::report_request report_client::makeReport(steady_time now)
 {
-    const control_channels::member *leader = m_channels.find(m_feed.leader());
-    if (!leader)
-        return;
     wire::report_request request;
     request.set_cluster(m_settings.cluster);
     request.set_instance(m_settings.instance);
     request.set_incarnation(m_incarnation);
     request.set_revision(m_store.current()->revision);
-    request.set_ready(currentUntil() > m_clock.now());
+    request.set_ready(m_fresh.isReady());
     request.set_leaving(m_leaving);
     request.set_http_address(m_settings.entry.publicAddress);
     request.set_region(m_settings.region());
     request.set_failure_domain(m_settings.failureDomain);
+    std::map<std::pair<std::string, std::string>, service_balancer::upstream_report> measured;
+    for (const auto &balancer : m_targets.balancers) {
+        const service_spec &spec = balancer->spec();
+        const auto demand = balancer->takeDemand(now);
+        wire::service_demand *out = request.add_services();
+        out->set_service(spec.name);
+        out->set_arrivals(demand.arrivals);
+        out->set_waiting(demand.waiting);
+        out->set_peak_in_flight(demand.peakInFlight);
+        out->set_refused(demand.refused);
+        out->set_foreign_in_flight(demand.foreignInFlight);
+        wire::foreign_demand *foreign = request.add_foreign();
+        foreign->set_service(spec.name);
+        foreign->set_held(demand.foreignHeld);
+        foreign->set_in_flight(demand.foreignInFlight);
+        foreign->set_epoch(demand.foreignEpoch);
+        foreign->set_peak_in_flight(demand.foreignPeak);
+        foreign->set_refused(demand.foreignRefused);
+        for (std::size_t i = 0; i < spec.upstreams.size(); ++i)
+            measured[{spec.name, spec.upstreams[i].name}] = demand.upstreams[i];
+    }
+    for (const slot_ledger::row_report &row : m_targets.ledger.report(now)) {
+        wire::upstream_demand *out = request.add_upstreams();
+        out->set_service(row.service);
+        out->set_upstream(row.upstream);
+        out->set_held(row.held);
+        out->set_in_flight(row.inFlight);
+        out->set_epoch(row.epoch);
+        const auto &seen = measured[{row.service, row.upstream}];
+        out->set_failures(seen.failures);
+        out->set_sheds(seen.sheds);
+        out->set_answers(seen.answers);
+        out->set_started(seen.hasStarted);
+        out->set_latency_us(static_cast<std::uint32_t>(seen.latency.count()));
+    }
+    return request;
+}
+
+bool report_client::report(const control_channels::member &member)
+{
+    const auto span = m_tracer.startFromHeader("entry.report", "");
+    const steady_time sentAt = m_clock.now();
+    const wire::report_request request = makeReport(sentAt);
     grpc::ClientContext context;
     context.set_wait_for_ready(true);
     context.set_deadline(std::chrono::system_clock::now() + callTimeout);
     wire::report_reply reply;
-    if (!leader->link->Report(&context, request, &reply).ok() || !reply.accepted())
-        return;
+    const grpc::Status status = member.link->Report(&context, request, &reply);
+    span->SetTag("status", status.ok() ? std::string("ok") : status.error_message());
+    if (!status.ok())
+        return false;
+    m_leader.observe(reply.leader());
+    if (!reply.accepted())
+        return false;
+    apply(reply, sentAt);
+    return true;
+}
+
+void report_client::apply(const wire::report_reply &reply, steady_time reportSentAt)
+{
+    std::vector<slot_ledger::row_grant> grants;
+    for (const auto &item : reply.allocations())
+        grants.push_back(
+            {item.service(), item.upstream(), {item.slots(), item.reserved(), item.epoch()}});
+    if (!grants.empty() && m_targets.ledger.isFallback())
+        m_events.write(event_id::allocation_started, {{"term", reply.term()}});
+    m_targets.ledger.applyGrants(reply.term(), grants, reportSentAt);
+    for (const auto &balancer : m_targets.balancers) {
+        std::optional<slot_grant> share;
+        for (const auto &limit : reply.foreign_limits())
+            if (limit.service() == balancer->spec().name && limit.region() == m_settings.region())
+                share = slot_grant{limit.slots(), 0, limit.epoch()};
+        balancer->applyForeignLimit(reply.term(), share, reportSentAt);
+    }
+    applyInstances(reply);
+}
+
+void report_client::applyInstances(const wire::report_reply &reply)
+{
     std::vector<instance_status> instances;
     std::ranges::transform(reply.instances(), std::back_inserter(instances), statusFromWire);
-    m_directory.update(std::move(instances), m_clock.now());
+    std::vector<std::string> names;
+    std::size_t inRegion = 0;
+    for (const instance_status &status : instances) {
+        if (status.state == instance_state::removed || status.state == instance_state::dead)
+            continue;
+        names.push_back(status.name);
+        if (status.region == m_settings.region())
+            ++inRegion;
+    }
+    m_targets.links.setInstances(inRegion);
+    m_targets.pool.setInstances(names.size());
+    m_targets.ledger.setInstances(std::move(names));
+    m_targets.directory.update(std::move(instances), m_clock.now());
 }
 
 } // namespace buckthorngrade
--- a/src/entry/report_client.h
+++ b/src/entry/report_client.h
@@ -1,54 +1,74 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/duty_thread.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "base/trace.h"
 #include "entry/config_store.h"
-#include "entry/feed_client.h"
+#include "entry/freshness_client.h"
 #include "entry/instance_directory.h"
+#include "entry/leader_hint.h"
+#include "entry/link_meter.h"
+#include "entry/service_balancer.h"
+#include "entry/slot_ledger.h"
+#include "entry/upstream_pool.h"
 #include "link/control_channels.h"
 #include "model/settings.h"
 
 #include <atomic>
 #include <cstdint>
-#include <optional>
-#include <thread>
+#include <memory>
+#include <vector>
 
 namespace buckthorngrade {
 
-// Thread that reports to the leader each second and asks a control instance whether the
-// configuration here is current.
+// Reports to the control leader each second: state, demand and slots in use. Applies what it
+// replies: allocations, foreign limits and the table of instances.
 class report_client
 {
 public:
+    // What the replies are applied to.
+    struct targets
+    {
+        instance_directory &directory;
+        slot_ledger &ledger;
+        link_meter &links;
+        upstream_pool &pool;
+        const std::vector<std::unique_ptr<service_balancer>> &balancers;
+    };
     // All references must outlive this.
     report_client(const settings &config, std::uint64_t incarnation,
-                  const control_channels &channels, const feed_client &feed,
-                  const config_store &store, instance_directory &directory,
-                  const clock_source &clock);
-    ~report_client();
-    report_client(const report_client &) = delete;
-    report_client &operator=(const report_client &) = delete;
-
-    // The time until which the configuration in force here counts as current.
-    steady_time currentUntil() const;
+                  const control_channels &channels, leader_hint &leader,
+                  const freshness_client &fresh, const config_store &store, const targets &state,
+                  const clock_source &clock, event_log &events, metric_registry &metrics,
+                  const json_tracer &tracer);
+
+    // From now on the instance is reported as leaving, so that look-ups leave it out.
     void setLeaving() { m_leaving = true; }
+    bool isLeaving() const { return m_leaving; }
 
 private:
     void run();
-    void report();
-    void probe(const control_channels::member &member);
+    bool report(const control_channels::member &member);
+    wire::report_request makeReport(steady_time now);
+    void apply(const wire::report_reply &reply, steady_time reportSentAt);
+    void applyInstances(const wire::report_reply &reply);
 
     const settings &m_settings;
     const std::uint64_t m_incarnation;
     const control_channels &m_channels;
-    const feed_client &m_feed;
+    leader_hint &m_leader;
+    const freshness_client &m_fresh;
     const config_store &m_store;
-    instance_directory &m_directory;
+    const targets m_targets;
     const clock_source &m_clock;
+    event_log &m_events;
+    metric_counter &m_failures;
+    const json_tracer &m_tracer;
+    std::size_t m_nextMember = 0;
     std::atomic<bool> m_leaving = false;
-    std::atomic<bool> m_stopping = false;
-    mutable std::mutex m_mutex;
-    steady_time m_currentUntil;
-    std::thread m_thread;
+    duty_thread m_thread;
 };
 
 } // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/request_body.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/http_exchange.h"
+#include "entry/entry_error.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace buckthorngrade {
+
+// The caller's connection failed while the request was read, or the body is malformed. `status` is
+// 0 if the caller is gone, otherwise what it is told.
+class caller_error : public entry_error
+{
+public:
+    caller_error(int status, const std::string &reason)
+        : entry_error(reason)
+        , m_status(status)
+    { }
+    int status() const { return m_status; }
+
+private:
+    int m_status;
+};
+
+// A caller's request body whose first part is kept, so that it can be sent again. The body can be
+// replayed as long as nothing beyond that part was read.
+class request_body
+{
+public:
+    static constexpr std::size_t maxKeptBytes = 64UL * 1024;
+
+    // `exchange` must outlive this.
+    explicit request_body(http_exchange &exchange);
+
+    // Reads the first part. All members that read throw caller_error.
+    void readFirstPart(steady_time deadline);
+    std::string_view firstPart() const { return m_first; }
+    // The first part is the whole body.
+    bool isWhole() const { return m_exchange.isBodyComplete() && !m_hasReadOn; }
+    bool isReplayable() const { return !m_hasReadOn; }
+    // The next bytes after the first part; empty at the end.
+    std::string_view readOn(steady_time deadline);
+
+private:
+    std::size_t read(char *to, std::size_t size, steady_time deadline);
+
+    http_exchange &m_exchange;
+    std::string m_first;
+    std::string m_buffer;
+    bool m_hasReadOn = false;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/service_balancer.cc
@@ -0,0 +1,333 @@
+#include "entry/service_balancer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr double latencySmoothing = 0.2; // weight of a new sample
+constexpr std::chrono::milliseconds drainCheckPeriod{100};
+
+std::vector<upstream_tiers::place> placesOf(const settings &config, const service_spec &service)
+{
+    std::vector<upstream_tiers::place> places;
+    for (const upstream_spec &upstream : service.upstreams)
+        places.push_back({upstream.name, config.deployment.regionOf(upstream.failureDomain),
+                          upstream.failureDomain});
+    return places;
+}
+
+} // namespace
+
+service_balancer::service_balancer(const settings &config, std::size_t service,
+                                   const config_source &source, slot_ledger &ledger,
+                                   const link_meter &links, const clock_source &clock)
+    : m_settings(config)
+    , m_index(service)
+    , m_spec(config.deployment.services[service])
+    , m_config(source)
+    , m_ledger(ledger)
+    , m_links(links)
+    , m_clock(clock)
+    , m_tiers(placesOf(config, m_spec), config.region(), config.failureDomain)
+    , m_upstreams(m_spec.upstreams.size())
+    , m_ejection(m_spec.upstreams.size())
+    , m_random(std::hash<std::string>{}(config.instance + m_spec.name)
+               ^ static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
+    , m_demandSince(clock.now())
+{ }
+
+const profile &service_balancer::activeProfile(const config_snapshot &config) const
+{
+    static const profile defaults;
+    const auto found = config.profiles.find(m_spec.profile);
+    return found == config.profiles.end() ? defaults : found->second;
+}
+
+std::string service_balancer::regionOf(std::size_t upstream) const
+{
+    return m_tiers.places()[upstream].region;
+}
+
+void service_balancer::refreshDrains(const std::shared_ptr<const config_snapshot> &config,
+                                     steady_time now)
+{
+    if (config == m_drainsOf && now < m_drainsAt + drainCheckPeriod)
+        return;
+    m_drainsOf = config;
+    m_drainsAt = now;
+    const wall_time wallNow = m_clock.wallNow();
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        const auto &place = m_tiers.places()[i];
+        m_upstreams[i].isDrained = config->isDrained(drain_target::upstream, place.name, wallNow)
+            || config->isDrained(drain_target::failure_domain, place.failureDomain, wallNow)
+            || config->isDrained(drain_target::region, place.region, wallNow);
+    }
+}
+
+std::vector<upstream_view> service_balancer::views(const std::vector<bool> &tried,
+                                                   const profile &rules, steady_time now)
+{
+    const auto usage = m_ledger.read(m_index, now);
+    std::vector<upstream_view> result(m_upstreams.size());
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        upstream_state &state = m_upstreams[i];
+        upstream_view &view = result[i];
+        view.slots = usage[i].allowed;
+        view.inFlight = usage[i].inFlight;
+        view.latency = state.latency;
+        view.reportedLoad = state.load;
+        view.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.loadAt);
+        view.isEjected = m_ejection.isEjected(i, now);
+        view.isDrained = state.isDrained;
+        view.isExcluded = !tried.empty() && tried[i];
+        const std::string &region = m_tiers.places()[i].region;
+        view.isLinkOpen = region == m_settings.region() || m_links.mayStart(region);
+        const bool isOut = view.isEjected || view.isDrained;
+        if (state.wasOut && !isOut)
+            state.recoveredAt = now;
+        state.wasOut = isOut;
+        if (state.recoveredAt != steady_time::min() && rules.warmup.count() > 0)
+            view.slowStart = std::min(1.0,
+                                      std::chrono::duration<double>(now - state.recoveredAt)
+                                          / std::chrono::duration<double>(rules.warmup));
+    }
+    return result;
+}
+
+service_balancer::selection service_balancer::tryTake(const std::vector<bool> &tried,
+                                                      const profile &rules, decision_record *record)
+{
+    const steady_time now = m_clock.now();
+    const auto all = views(tried, rules, now);
+    const selection_decision decision = selectUpstream(
+        m_tiers, all, {rules.latencyWeight, rules.headroomWeight}, m_random(), record);
+    selection result;
+    result.rule = decision.rule;
+    if (!decision.upstream || !m_ledger.tryTake(m_index, *decision.upstream, now))
+        return result;
+    result.upstream = *decision.upstream;
+    ++m_inFlight;
+    m_peakInFlight = std::max(m_peakInFlight, m_inFlight);
+    return result;
+}
+
+service_balancer::selection service_balancer::take(const std::vector<bool> &tried,
+                                                   steady_time deadline, decision_record *record)
+{
+    // The wait is cut in slices because slots also become free by time: an ejection ends, a link
+    // gets budget, an allocation arrives.
+    constexpr std::chrono::milliseconds slice{20};
+    const auto config = m_config.current();
+    const profile &rules = activeProfile(*config);
+    std::unique_lock lock(m_mutex);
+    ++m_arrivals;
+    refreshDrains(config, m_clock.now());
+    selection result;
+    // Nobody overtakes the requests that wait already.
+    if (m_waiting == 0) {
+        result = tryTake(tried, rules, record);
+        if (result.upstream)
+            return result;
+    }
+    const auto refuse = [&](std::string_view rule, bool isDeadlinePassed) {
+        ++m_refused;
+        if (record) {
+            record->kind = decision_kind::refusal;
+            record->setRule(rule);
+            record->setOutcome("not-run");
+        }
+        return selection{std::nullopt, rule, isDeadlinePassed};
+    };
+    if (m_waiting >= rules.queueLength)
+        return refuse("queue-full", false);
+    const steady_time end = std::min(m_clock.now() + rules.queueTimeout, deadline);
+    ++m_waiting;
+    while (!result.upstream && m_clock.now() < end) {
+        m_released.wait_until(lock, std::min(end, m_clock.now() + slice));
+        refreshDrains(m_config.current(), m_clock.now());
+        result = tryTake(tried, rules, nullptr);
+    }
+    --m_waiting;
+    if (result.upstream) {
+        if (record) {
+            record->kind = decision_kind::selection;
+            record->setRule("selected-after-waiting");
+            record->setOutcome(m_tiers.places()[*result.upstream].name);
+        }
+        return result;
+    }
+    if (m_clock.now() >= deadline)
+        return refuse("deadline-in-queue", true);
+    return refuse("queue-timeout", false);
+}
+
+void service_balancer::release(std::size_t upstream)
+{
+    m_ledger.release(m_index, upstream);
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_inFlight;
+    }
+    m_released.notify_all();
+}
+
+bool service_balancer::hasAlternative(const std::vector<bool> &tried)
+{
+    const auto config = m_config.current();
+    const std::lock_guard lock(m_mutex);
+    return std::ranges::any_of(
+        views(tried, activeProfile(*config), m_clock.now()),
+        [](const upstream_view &view) { return ineligibleReason(view).empty(); });
+}
+
+bool service_balancer::tryEnterForeign()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_hasForeignLimit && !m_foreign.mayStart(m_foreignInFlight, m_clock.now())) {
+        ++m_foreignRefused;
+        return false;
+    }
+    ++m_foreignInFlight;
+    m_foreignPeak = std::max(m_foreignPeak, m_foreignInFlight);
+    return true;
+}
+
+void service_balancer::leaveForeign()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_foreignInFlight;
+}
+
+void service_balancer::applyForeignLimit(std::uint64_t term, const std::optional<slot_grant> &share,
+                                         steady_time reportSentAt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_foreign.observeTerm(term);
+    if (!share)
+        return;
+    const steady_time now = m_clock.now();
+    const std::uint32_t before = m_foreign.allowed(now);
+    if (m_foreign.apply(*share, reportSentAt) && m_hasForeignLimit
+        && m_foreign.allowed(now) > before)
+        m_foreignGrewAt = now;
+    m_hasForeignLimit = true;
+}
+
+void service_balancer::renewByProof(steady_time probeSentAt, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_foreign.renewByProof(probeSentAt, now);
+}
+
+bool service_balancer::isShiftUnderWay(const profile &rules)
+{
+    const auto config = m_config.current();
+    const wall_time wallNow = m_clock.wallNow();
+    const bool hasRecentDrain = std::ranges::any_of(config->drains, [&](const drain &item) {
+        return item.isActive(wallNow) && wallNow - item.start < rules.shiftInterval;
+    });
+    const std::lock_guard lock(m_mutex);
+    return hasRecentDrain
+        || (m_foreignGrewAt != steady_time::min()
+            && m_clock.now() - m_foreignGrewAt < rules.shiftInterval);
+}
+
+void service_balancer::recordSuccess(std::size_t upstream, std::chrono::microseconds latency)
+{
+    const std::lock_guard lock(m_mutex);
+    upstream_state &state = m_upstreams[upstream];
+    m_ejection.recordSuccess(upstream, m_clock.now());
+    state.latency = state.latency ? std::chrono::microseconds(static_cast<std::int64_t>(
+                        static_cast<double>(state.latency->count()) * (1 - latencySmoothing)
+                        + static_cast<double>(latency.count()) * latencySmoothing))
+                                  : latency;
+    state.latencySum += latency;
+    ++state.report.answers;
+    if (std::exchange(state.isRefusing, false)) {
+        state.report.hasStarted = true;
+        state.recoveredAt = m_clock.now();
+    }
+}
+
+bool service_balancer::recordFailure(std::size_t upstream, failure_point point)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_upstreams[upstream].report.failures;
+    if (point == failure_point::connect_failed)
+        m_upstreams[upstream].isRefusing = true;
+    return m_ejection.recordFailure(upstream, m_clock.now());
+}
+
+void service_balancer::recordShed(std::size_t upstream)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_upstreams[upstream].report.sheds;
+}
+
+void service_balancer::recordLoad(std::size_t upstream, double load)
+{
+    const std::lock_guard lock(m_mutex);
+    m_upstreams[upstream].load = load;
+    m_upstreams[upstream].loadAt = m_clock.now();
+}
+
+void service_balancer::recordFirstAttempt()
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.recordFirstAttempt(m_clock.now());
+}
+
+bool service_balancer::canRetry(double share)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_budget.canRetry(share, m_clock.now());
+}
+
+bool service_balancer::tryRetry(double share)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_budget.tryRetry(share, m_clock.now());
+}
+
+service_balancer::demand service_balancer::takeDemand(steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    demand result;
+    const double seconds = std::chrono::duration<double>(now - m_demandSince).count();
+    result.arrivals = seconds > 0 ? m_arrivals / seconds : 0.0;
+    result.waiting = m_waiting;
+    result.peakInFlight = std::exchange(m_peakInFlight, m_inFlight);
+    result.refused = std::exchange(m_refused, 0);
+    result.foreignHeld = m_foreign.allowed(now);
+    result.foreignInFlight = m_foreignInFlight;
+    result.foreignPeak = std::exchange(m_foreignPeak, m_foreignInFlight);
+    result.foreignRefused = std::exchange(m_foreignRefused, 0);
+    result.foreignEpoch = m_foreign.epoch();
+    m_arrivals = 0;
+    m_demandSince = now;
+    for (upstream_state &state : m_upstreams) {
+        upstream_report report = std::exchange(state.report, {});
+        if (report.answers > 0)
+            report.latency = state.latencySum / report.answers;
+        state.latencySum = std::chrono::microseconds(0);
+        result.upstreams.push_back(report);
+    }
+    return result;
+}
+
+std::vector<service_balancer::upstream_status> service_balancer::status()
+{
+    const auto config = m_config.current();
+    const std::lock_guard lock(m_mutex);
+    refreshDrains(config, m_clock.now());
+    const auto all = views({}, activeProfile(*config), m_clock.now());
+    std::vector<upstream_status> result;
+    for (std::size_t i = 0; i < all.size(); ++i)
+        result.push_back({m_tiers.places()[i].name, all[i]});
+    return result;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/service_balancer.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "base/clock.h"
+#include "entry/link_meter.h"
+#include "entry/slot_ledger.h"
+#include "model/config_snapshot.h"
+#include "model/settings.h"
+#include "steering/ejection_policy.h"
+#include "steering/retry_policy.h"
+#include "steering/slot_lease.h"
+#include "steering/upstream_selector.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthorngrade {
+
+// Selects upstreams of one service and holds what this instance has measured of them: slots in use,
+// latency, failures, reported load. Requests that find no slot wait in a short queue. Thread-safe.
+class service_balancer
+{
+public:
+    // All references must outlive this. `service` is the index into the topology's services.
+    service_balancer(const settings &config, std::size_t service, const config_source &source,
+                     slot_ledger &ledger, const link_meter &links, const clock_source &clock);
+
+    const service_spec &spec() const { return m_spec; }
+    // The profile in force; the defaults until one has arrived. Valid as long as `config`.
+    const profile &activeProfile(const config_snapshot &config) const;
+    std::string regionOf(std::size_t upstream) const;
+
+    struct selection
+    {
+        std::optional<std::size_t> upstream; // with a slot, which release() gives back
+        std::string_view rule;
+        bool isDeadlinePassed = false;
+    };
+    // Selects an upstream that is not in `tried` and takes a slot there. Waits in the queue if all
+    // slots are in use. If `record` is given it is filled.
+    selection take(const std::vector<bool> &tried, steady_time deadline, decision_record *record);
+    void release(std::size_t upstream);
+    // An upstream that is not in `tried` has a free slot now.
+    bool hasAlternative(const std::vector<bool> &tried);
+
+    // Admits a request of a caller in another region, within this instance's share of the region's
+    // limit; see shift_governor. leaveForeign() ends it.
+    bool tryEnterForeign();
+    void leaveForeign();
+    // Applies a reply of the leader to the report made at `reportSentAt`: its term, and the share
+    // if there is one. The share is leased as slots are. Until the first one arrives, foreign work
+    // is not limited.
+    void applyForeignLimit(std::uint64_t term, const std::optional<slot_grant> &share,
+                           steady_time reportSentAt);
+    void renewByProof(steady_time probeSentAt, steady_time now);
+    bool isShiftUnderWay(const profile &rules);
+
+    void recordSuccess(std::size_t upstream, std::chrono::microseconds latency);
+    // Returns true if this failure ejected the upstream.
+    bool recordFailure(std::size_t upstream, failure_point point);
+    void recordShed(std::size_t upstream);
+    void recordLoad(std::size_t upstream, double load);
+
+    void recordFirstAttempt();
+    bool canRetry(double share);
+    bool tryRetry(double share);
+
+    struct upstream_report
+    {
+        std::uint32_t failures = 0;
+        std::uint32_t sheds = 0;
+        std::uint32_t answers = 0;
+        std::chrono::microseconds latency{0}; // mean of the answers
+        bool hasStarted = false; // it answers again after it refused connections
+    };
+    struct demand
+    {
+        double arrivals = 0; // a second
+        std::uint32_t waiting = 0;
+        std::uint32_t peakInFlight = 0;
+        std::uint32_t refused = 0;
+        std::uint32_t foreignHeld = 0;
+        std::uint32_t foreignInFlight = 0;
+        std::uint32_t foreignPeak = 0;
+        std::uint32_t foreignRefused = 0;
+        allocation_epoch foreignEpoch = 0;
+        std::vector<upstream_report> upstreams;
+    };
+    // What happened since the last call, and the state at `now`.
+    demand takeDemand(steady_time now);
+
+    struct upstream_status
+    {
+        std::string name;
+        upstream_view view;
+    };
+    std::vector<upstream_status> status();
+
+private:
+    struct upstream_state
+    {
+        std::optional<std::chrono::microseconds> latency; // exponentially smoothed
+        std::optional<double> load;
+        steady_time loadAt;
+        steady_time recoveredAt = steady_time::min();
+        bool wasOut = false; // ejected or drained when last looked at
+        bool isDrained = false;
+        upstream_report report;
+        std::chrono::microseconds latencySum{0};
+        bool isRefusing = false; // the last attempt could not connect
+    };
+
+    std::vector<upstream_view> views(const std::vector<bool> &tried, const profile &rules,
+                                     steady_time now);
+    void refreshDrains(const std::shared_ptr<const config_snapshot> &config, steady_time now);
+    selection tryTake(const std::vector<bool> &tried, const profile &rules,
+                      decision_record *record);
+
+    const settings &m_settings;
+    const std::size_t m_index;
+    const service_spec &m_spec;
+    const config_source &m_config;
+    slot_ledger &m_ledger;
+    const link_meter &m_links;
+    const clock_source &m_clock;
+    const upstream_tiers m_tiers;
+
+    std::mutex m_mutex;
+    std::condition_variable m_released;
+    std::vector<upstream_state> m_upstreams;
+    ejection_policy m_ejection;
+    retry_budget m_budget;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const config_snapshot> m_drainsOf;
+    steady_time m_drainsAt = steady_time::min();
+    std::uint32_t m_waiting = 0;
+    std::uint32_t m_inFlight = 0;
+    std::uint32_t m_peakInFlight = 0;
+    std::uint32_t m_refused = 0;
+    std::uint32_t m_arrivals = 0;
+    steady_time m_demandSince;
+    bool m_hasForeignLimit = false;
+    slot_lease m_foreign;
+    steady_time m_foreignGrewAt = steady_time::min();
+    std::uint32_t m_foreignInFlight = 0;
+    std::uint32_t m_foreignPeak = 0;
+    std::uint32_t m_foreignRefused = 0;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/entry/slot_ledger.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/clock.h"
+#include "model/topology.h"
+#include "steering/slot_lease.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace buckthorngrade {
+
+// The slots that this instance holds and uses at each upstream. Thread-safe.
+//
+// Slots come from the leader's allocations only. A control group that never sent an allocation is
+// one without an allocator; for such a group the instances in the directory share each service's
+// slots evenly, numbered through all its upstreams, until the first allocation arrives. This
+// fallback is safe only while all instances have the same directory.
+class slot_ledger
+{
+public:
+    slot_ledger(const topology &deployment, std::string instance);
+
+    struct row_report
+    {
+        std::string service;
+        std::string upstream;
+        std::uint32_t held = 0;
+        std::uint32_t inFlight = 0;
+        allocation_epoch epoch = 0;
+    };
+    // All rows at one instant, `now`, which is to be passed to applyGrants() with the reply.
+    std::vector<row_report> report(steady_time now) const;
+
+    struct row_grant
+    {
+        std::string service;
+        std::string upstream;
+        slot_grant grant;
+    };
+    // The leader's reply to the report made at `reportSentAt`. Unknown upstreams are ignored.
+    void applyGrants(std::uint64_t term, const std::vector<row_grant> &grants,
+                     steady_time reportSentAt);
+    void renewByProof(steady_time probeSentAt, steady_time now);
+    // Names of the entry instances in the directory, for the fallback.
+    void setInstances(std::vector<std::string> names);
+
+    struct usage
+    {
+        std::uint32_t allowed = 0;
+        std::uint32_t inFlight = 0;
+    };
+    // Parallel to the service's upstreams in the settings.
+    std::vector<usage> read(std::size_t service, steady_time now) const;
+    // Takes a slot. False if none is free.
+    bool tryTake(std::size_t service, std::size_t upstream, steady_time now);
+    void release(std::size_t service, std::size_t upstream);
+    // All requests in flight.
+    std::uint32_t totalInFlight() const;
+    // Share of all slots held that is in use, 0 to 1.
+    double load(steady_time now) const;
+    bool isFallback() const;
+
+private:
+    struct row
+    {
+        slot_lease lease;
+        std::uint32_t inFlight = 0;
+        std::uint32_t fallbackSlots = 0;
+    };
+    std::uint32_t allowedOf(const row &item, steady_time now) const;
+
+    const topology &m_deployment;
+    const std::string m_instance;
+    mutable std::mutex m_mutex;
+    bool m_isAllocated = false;
+    std::vector<std::vector<row>> m_rows; // by service and upstream
+    std::map<std::pair<std::string, std::string>, std::pair<std::size_t, std::size_t>> m_index;
+};
+
+} // namespace buckthorngrade
--- a/src/entry/upstream_pool.cc
+++ b/src/entry/upstream_pool.cc
@@ -1,50 +1,52 @@
 #include "entry/upstream_pool.h"
 
-#include <Poco/Net/SocketAddress.h>
-
+#include <algorithm>
 #include <utility>
 
 namespace buckthorngrade {
 
-namespace {
-
-constexpr std::size_t maxIdlePerUpstream = 64;
-
-} // namespace
+void upstream_pool::setInstances(std::size_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_instances = std::max<std::size_t>(count, 1);
+}
 
-upstream_pool::lease upstream_pool::take(const upstream_spec &upstream,
-                                         std::chrono::milliseconds timeout)
+upstream_pool::lease upstream_pool::take(const upstream_spec &upstream, steady_time deadline)
 {
+    const steady_time now = std::chrono::steady_clock::now();
     lease result;
     result.address = upstream.address;
     {
         const std::lock_guard lock(m_mutex);
         auto &idle = m_idle[upstream.address];
-        while (!idle.empty() && !result.session) {
-            result.session = std::move(idle.back());
+        std::erase_if(idle, [&](const auto &item) { return now - item.since >= maxIdleTime; });
+        while (!idle.empty() && !result.stream) {
+            result.stream = std::move(idle.back().stream);
             idle.pop_back();
             // Readable while idle means closed by the upstream, or bytes that nobody asked for.
-            if (result.session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
-                result.session.reset();
+            if (result.stream->waitReadable(steady_time::min()))
+                result.stream.reset();
         }
     }
-    result.reused = result.session != nullptr;
-    if (!result.session) {
-        result.session = std::make_unique<Poco::Net::HTTPClientSession>(
-            Poco::Net::SocketAddress(upstream.address));
-        result.session->setKeepAlive(true);
-    }
-    result.session->setTimeout(
-        Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(timeout).count()));
+    result.isReused = result.stream != nullptr;
+    if (!result.stream)
+        result.stream
+            = std::make_unique<socket_stream>(socket_stream::connect(upstream.address, deadline));
     return result;
 }
 
-void upstream_pool::giveBack(lease used)
+void upstream_pool::giveBack(const upstream_spec &upstream, lease used)
 {
+    if (!used.stream || !used.stream->buffered().empty())
+        return;
     const std::lock_guard lock(m_mutex);
+    // Requests in flight take at most `slots` of the share of connections; the rest may be idle.
+    const std::size_t share = upstream.connections / m_instances;
+    const std::size_t limit
+        = std::max<std::size_t>(share - std::min<std::size_t>(share, upstream.slots), 1);
     auto &idle = m_idle[used.address];
-    if (idle.size() < maxIdlePerUpstream)
-        idle.push_back(std::move(used.session));
+    if (idle.size() < limit)
+        idle.push_back({std::move(used.stream), std::chrono::steady_clock::now()});
 }
 
 } // namespace buckthorngrade
