--- a/src/cli/common_flags.cc
+++ b/src/cli/common_flags.cc
@@ -39,6 +39,13 @@
     return addresses;
 }
 
+const std::string &requiredConfig()
+{
+    if (FLAGS_config.empty())
+        throw usage_error("--config is needed: the settings file of this process");
+    return FLAGS_config;
+}
+
 std::chrono::milliseconds timeoutFlag()
 {
     return durationOfFlag("timeout", FLAGS_timeout);
