--- a/src/cli/run_entry.cc
+++ b/src/cli/run_entry.cc
@@ -25,8 +25,9 @@
                  {{"role", "entry"}, {"version", BG_VERSION}, {"address", instance.address()}});
     const int number = waitForStopSignal();
     events.write(event_id::process_stopping, {{"signal", number}});
-    instance.drain([] { return waitForStopSignal(std::chrono::seconds(1)); });
-    return 0;
+    const bool isComplete
+        = instance.drain([] { return waitForStopSignal(std::chrono::seconds(1)); });
+    return isComplete ? 0 : 1;
 }
 
 } // namespace buckthorngrade
--- a/src/entry/entry_status.cc
+++ b/src/entry/entry_status.cc
@@ -63,10 +63,10 @@
 
     const auto view = m_from.directory.current();
     if (!view->instances.empty())
-        object.set("directory_age_ms",
-                   static_cast<std::int64_t>(
-                       std::chrono::duration_cast<std::chrono::milliseconds>(now - view->received)
-                           .count()));
+        object.set(
+            "directory_age_ms",
+            static_cast<std::int64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - view->asOf).count()));
     Poco::JSON::Array::Ptr services = new Poco::JSON::Array;
     for (const auto &balancer : m_from.balancers) {
         Poco::JSON::Object::Ptr service = new Poco::JSON::Object;
--- a/src/entry/instance_directory.cc
+++ b/src/entry/instance_directory.cc
@@ -4,9 +4,9 @@
 
 namespace buckthorngrade {
 
-void instance_directory::update(std::vector<instance_status> instances, steady_time now)
+void instance_directory::update(std::vector<instance_status> instances, steady_time asOf)
 {
-    auto next = std::make_shared<const view>(view{std::move(instances), now});
+    auto next = std::make_shared<const view>(view{std::move(instances), asOf});
     const std::lock_guard lock(m_mutex);
     m_view = std::move(next);
 }
--- a/src/entry/instance_directory.h
+++ b/src/entry/instance_directory.h
@@ -16,10 +16,10 @@
     struct view
     {
         std::vector<instance_status> instances;
-        steady_time received;
+        steady_time asOf; // the control group described them no earlier than this
     };
 
-    void update(std::vector<instance_status> instances, steady_time now);
+    void update(std::vector<instance_status> instances, steady_time asOf);
     std::shared_ptr<const view> current() const;
 
 private:
--- a/src/entry/lookup_service.cc
+++ b/src/entry/lookup_service.cc
@@ -18,6 +18,8 @@
 constexpr int serviceUnavailable = 503;
 // How long a built view is used: drains begin and end by time, and freshness ends by time.
 constexpr std::chrono::milliseconds viewLifetime{100};
+// Callers must not ask again at once.
+constexpr std::chrono::milliseconds minLifetime{250};
 // An older table of instances says nothing about the instances now.
 constexpr std::chrono::milliseconds directoryLifetime{3'000};
 
@@ -72,8 +74,8 @@
     auto view = std::make_shared<candidate_view>();
     view->builtAt = m_clock.now();
     view->own = m_fresh.decide().state;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(view->builtAt
-                                                                           - directory->received);
+    const auto age
+        = std::chrono::duration_cast<std::chrono::milliseconds>(view->builtAt - directory->asOf);
     const wall_time wallNow = m_clock.wallNow();
     for (const instance_status &status : directory->instances) {
         lookup_candidate candidate;
@@ -116,6 +118,18 @@
     return view;
 }
 
+// How long the answer may be cached. The age of the table of instances counts too: an instance that
+// fell silent is suspected 3 s later, and must not be used by callers for more than 3 s after that.
+std::chrono::milliseconds lookup_service::remainingLifetime(const candidate_view &view,
+                                                            const lookup_decision &decision) const
+{
+    if (decision.confidence != freshness::current)
+        return decision.lifetime;
+    const auto age
+        = std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - view.directory->asOf);
+    return std::min(decision.lifetime, std::max(maxLookupLifetime - age, minLifetime));
+}
+
 void lookup_service::reject(http_exchange &exchange, int status, const std::string &message)
 {
     exchange.reply(status, {{"Content-Type", "text/plain"}}, message + "\n");
@@ -150,10 +164,13 @@
     const bool isRecorded = m_decisions.admitOrdinary();
     const lookup_decision decision
         = decideLookup(request, view->candidates, m_delays, rules, isRecorded ? &record : nullptr);
-    if (isRecorded)
+    const auto lifetime = remainingLifetime(*view, decision);
+    if (isRecorded) {
+        record.addInput("lifetime_ms", fmt::to_string(lifetime.count()));
         m_decisions.add(record);
-    else
+    } else {
         m_decisions.count(decision_kind::lookup, decision.rule);
+    }
 
     Poco::JSON::Array::Ptr entries = new Poco::JSON::Array;
     for (const lookup_choice &choice : decision.chosen()) {
@@ -168,7 +185,7 @@
     object.set("decision_id", record.id);
     object.set("service", service);
     object.set("revision", request.revision);
-    object.set("ttl_ms", static_cast<std::int64_t>(decision.lifetime.count()));
+    object.set("ttl_ms", static_cast<std::int64_t>(lifetime.count()));
     object.set("freshness", std::string(toString(decision.confidence)));
     object.set("entries", entries);
     std::ostringstream text;
--- a/src/entry/lookup_service.h
+++ b/src/entry/lookup_service.h
@@ -53,6 +53,8 @@
     std::shared_ptr<const candidate_view>
     build(std::shared_ptr<const instance_directory::view> directory,
           std::shared_ptr<const config_snapshot> config) const;
+    std::chrono::milliseconds remainingLifetime(const candidate_view &view,
+                                                const lookup_decision &decision) const;
     void reject(http_exchange &exchange, int status, const std::string &message);
 
     const settings &m_settings;
--- a/src/entry/report_client.cc
+++ b/src/entry/report_client.cc
@@ -165,10 +165,10 @@
                 share = slot_grant{limit.slots(), 0, limit.epoch()};
         balancer->applyForeignLimit(reply.term(), share, reportSentAt);
     }
-    applyInstances(reply);
+    applyInstances(reply, reportSentAt);
 }
 
-void report_client::applyInstances(const wire::report_reply &reply)
+void report_client::applyInstances(const wire::report_reply &reply, steady_time reportSentAt)
 {
     std::vector<instance_status> instances;
     std::ranges::transform(reply.instances(), std::back_inserter(instances), statusFromWire);
@@ -184,7 +184,7 @@
     m_targets.links.setInstances(inRegion);
     m_targets.pool.setInstances(names.size());
     m_targets.ledger.setInstances(std::move(names));
-    m_targets.directory.update(std::move(instances), m_clock.now());
+    m_targets.directory.update(std::move(instances), reportSentAt);
 }
 
 } // namespace buckthorngrade
--- a/src/entry/report_client.h
+++ b/src/entry/report_client.h
@@ -53,7 +53,7 @@
     bool report(const control_channels::member &member);
     wire::report_request makeReport(steady_time now);
     void apply(const wire::report_reply &reply, steady_time reportSentAt);
-    void applyInstances(const wire::report_reply &reply);
+    void applyInstances(const wire::report_reply &reply, steady_time reportSentAt);
 
     const settings &m_settings;
     const std::uint64_t m_incarnation;
--- /dev/null
+++ b/tests/entry/claim_client_test.cc
@@ -0,0 +1,251 @@
+#include "entry/claim_client.h"
+#include "testing/wait.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <grpcpp/server_builder.h>
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <vector>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A control instance that answers as it is told.
+class fake_control final : public wire::instance_link::Service
+{
+public:
+    enum class answer { proceed, lose_answer, not_leader, recorded, never };
+
+    fake_control()
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &m_port);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+    }
+    ~fake_control() override { m_server->Shutdown(std::chrono::system_clock::now() + 100ms); }
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", m_port); }
+    void plan(std::deque<answer> answers, std::uint32_t leader = 1)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answers = std::move(answers);
+        m_leader = leader;
+    }
+    void failFinishes(int count)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_failFinishes = count;
+    }
+    std::vector<wire::begin_request> begins() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_begins;
+    }
+    std::vector<wire::finish_request> finishes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_finishes;
+    }
+
+    grpc::Status BeginRequest(grpc::ServerContext *, const wire::begin_request *request,
+                              wire::begin_reply *reply) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_begins.push_back(*request);
+        const answer next = m_answers.empty() ? answer::never : m_answers.front();
+        if (m_answers.size() > 1)
+            m_answers.pop_front();
+        reply->set_leader(m_leader);
+        switch (next) {
+        case answer::proceed:
+            reply->set_accepted(true);
+            reply->mutable_outcome()->set_status(wire::BEGIN_PROCEED);
+            return grpc::Status::OK;
+        case answer::recorded:
+            reply->set_accepted(true);
+            reply->mutable_outcome()->set_status(wire::BEGIN_RECORDED);
+            reply->mutable_outcome()->mutable_response()->set_status(201);
+            return grpc::Status::OK;
+        case answer::not_leader:
+            return grpc::Status::OK;
+        case answer::lose_answer:
+        case answer::never:
+            break;
+        }
+        return {grpc::StatusCode::UNAVAILABLE, "the answer was lost"};
+    }
+    grpc::Status FinishRequest(grpc::ServerContext *, const wire::finish_request *request,
+                               wire::finish_reply *reply) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_failFinishes-- > 0)
+            return {grpc::StatusCode::UNAVAILABLE, "no"};
+        m_finishes.push_back(*request);
+        reply->set_accepted(true);
+        return grpc::Status::OK;
+    }
+
+private:
+    int m_port = 0;
+    std::unique_ptr<grpc::Server> m_server;
+    mutable std::mutex m_mutex;
+    std::deque<answer> m_answers;
+    std::uint32_t m_leader = 0;
+    int m_failFinishes = 0;
+    std::vector<wire::begin_request> m_begins;
+    std::vector<wire::finish_request> m_finishes;
+};
+
+} // namespace
+
+class claim_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(claim_client_test);
+    CPPUNIT_TEST(lostAnswerIsAskedForAgainWithTheSameAttempt);
+    CPPUNIT_TEST(lostForGoodIsNotCalledUnreachable);
+    CPPUNIT_TEST(unreachableControlIsKnownNotToHaveRecorded);
+    CPPUNIT_TEST(followsALeaderChange);
+    CPPUNIT_TEST(outcomesAreDeliveredAgain);
+    CPPUNIT_TEST(digestCoversEveryPart);
+    CPPUNIT_TEST_SUITE_END();
+
+    using answer = fake_control::answer;
+    using status = claim_client::status;
+
+    const system_clock_source m_clock;
+    null_event_log m_events;
+    metric_registry m_metrics;
+    const json_tracer m_tracer{"test", {}};
+
+    // A client of the given control instances, with ids from 1 on.
+    struct client_set
+    {
+        client_set(claim_client_test &test, const std::vector<std::string> &addresses)
+            : config(makeSettings(addresses))
+            , channels(config)
+            , client(config, 7, channels, leader, test.m_clock, test.m_events, test.m_metrics,
+                     test.m_tracer)
+            , span(test.m_tracer.startFromHeader("test", ""))
+        { }
+        static settings makeSettings(const std::vector<std::string> &addresses)
+        {
+            settings result;
+            result.instance = "entry-1";
+            for (const std::string &address : addresses)
+                result.members.push_back(
+                    {static_cast<std::uint32_t>(result.members.size() + 1), address, ""});
+            return result;
+        }
+        status begin(std::chrono::milliseconds limit = 30s)
+        {
+            return client
+                .begin({"claim", "key", "digest", claim_client::newAttempt()},
+                       std::chrono::steady_clock::now() + limit, *span)
+                .outcome;
+        }
+        const settings config;
+        const control_channels channels;
+        leader_hint leader;
+        claim_client client;
+        std::unique_ptr<opentracing::Span> span;
+    };
+
+public:
+    // Guards against a second run, or a refusal, when only the answer was lost.
+    void lostAnswerIsAskedForAgainWithTheSameAttempt()
+    {
+        fake_control control;
+        control.plan({answer::lose_answer, answer::proceed});
+        client_set set(*this, {control.address()});
+        CPPUNIT_ASSERT(set.begin() == status::proceed);
+        const auto begins = control.begins();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), begins.size());
+        CPPUNIT_ASSERT(begins[0].attempt() != 0);
+        CPPUNIT_ASSERT_EQUAL(begins[0].attempt(), begins[1].attempt());
+        CPPUNIT_ASSERT(set.begin() == status::proceed);
+        CPPUNIT_ASSERT(control.begins().back().attempt() != begins[0].attempt());
+    }
+
+    // Guards against "not-run" for a key that an earlier sending may have run.
+    void lostForGoodIsNotCalledUnreachable()
+    {
+        fake_control control;
+        control.plan({answer::never});
+        client_set set(*this, {control.address()});
+        CPPUNIT_ASSERT(set.begin(500ms) == status::lost);
+        waitUntil("the attempt is withdrawn", [&] { return control.finishes().size() == 1; });
+        CPPUNIT_ASSERT(control.finishes()[0].outcome() == wire::finish_request::WITHDRAWN);
+        CPPUNIT_ASSERT_EQUAL(control.begins()[0].attempt(), control.finishes()[0].attempt());
+    }
+
+    void unreachableControlIsKnownNotToHaveRecorded()
+    {
+        std::string address;
+        {
+            const fake_control control;
+            address = control.address();
+        }
+        client_set set(*this, {address});
+        CPPUNIT_ASSERT(set.begin(500ms) == status::unreachable);
+        fake_control follower;
+        follower.plan({answer::not_leader}, 0);
+        client_set other(*this, {follower.address()});
+        CPPUNIT_ASSERT(other.begin(300ms) == status::unreachable);
+    }
+
+    void followsALeaderChange()
+    {
+        fake_control follower;
+        fake_control leader;
+        follower.plan({answer::not_leader}, 2);
+        leader.plan({answer::recorded}, 2);
+        client_set set(*this, {follower.address(), leader.address()});
+        set.leader.observe(1);
+        CPPUNIT_ASSERT(set.begin() == status::recorded);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), set.leader.leader());
+    }
+
+    // Guards against an outcome that is lost because control was away when the request ended.
+    void outcomesAreDeliveredAgain()
+    {
+        fake_control control;
+        control.failFinishes(3);
+        client_set set(*this, {control.address()});
+        wire::recorded_response response;
+        response.set_status(200);
+        response.set_body("body");
+        set.client.finishRan({"claim", "key", "digest", 5}, response);
+        waitUntil("the outcome arrives", [&] { return control.finishes().size() == 1; });
+        const auto finish = control.finishes()[0];
+        CPPUNIT_ASSERT(finish.outcome() == wire::finish_request::RAN);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), finish.response().body());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), finish.attempt());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), finish.incarnation());
+        waitUntil("nothing is pending", [&] { return set.client.pending() == 0; });
+    }
+
+    void digestCoversEveryPart()
+    {
+        const std::set<std::string> digests = {
+            claim_client::digestOf("POST", "/a", "t", "1", "x"),
+            claim_client::digestOf("PATCH", "/a", "t", "1", "x"),
+            claim_client::digestOf("POST", "/b", "t", "1", "x"),
+            claim_client::digestOf("POST", "/a", "u", "1", "x"),
+            claim_client::digestOf("POST", "/a", "t", "2", "x"),
+            claim_client::digestOf("POST", "/a", "t", "1", "y"),
+            claim_client::digestOf("POST", "/a\nt", "", "1", "x"),
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t(7), digests.size());
+        CPPUNIT_ASSERT_EQUAL(*digests.find(claim_client::digestOf("POST", "/a", "t", "1", "x")),
+                             claim_client::digestOf("POST", "/a", "t", "1", "x"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(claim_client_test);
