--- a/tests/integration/entry_lifecycle_test.cc
+++ b/tests/integration/entry_lifecycle_test.cc
@@ -5,6 +5,8 @@
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
