Reject edits and keys with malformed text before they enter the log

Cause: protobuf serializes malformed UTF-8 but refuses to parse it, so such an edit took a log index, failed on every instance and was answered as invalid only then; a keyed request ended as an unknown outcome. Edits are now checked for UTF-8 first, keys for visible ASCII. Before: commit index 1 after a malformed edit; after: 0 and the edit is answered as invalid.

--- a/src/control/edit_service.cc
+++ b/src/control/edit_service.cc
@@ -1,8 +1,13 @@
 #include "control/edit_service.h"
 
 #include "base/error.h"
+#include "base/utf8.h"
 #include "model/profile.h"
 
+#include <algorithm>
+#include <initializer_list>
+#include <string_view>
+
 namespace buckthorngrade {
 
 namespace {
@@ -29,6 +34,15 @@
 
 std::optional<wire::edit_outcome> edit_service::validate(const wire::edit &edit) const
 {
+    const std::initializer_list<std::string_view> texts
+        = {edit.request_id(), edit.operator_name(),  edit.reason(),      edit.put().name(),
+           edit.put().yaml(), edit.drain().target(), edit.cancel().id(), edit.remove().instance()};
+    if (!std::ranges::all_of(texts, isUtf8)) {
+        wire::edit_outcome outcome;
+        outcome.set_status(wire::EDIT_INVALID);
+        outcome.set_message("the edit has text that is not UTF-8");
+        return outcome;
+    }
     if (!edit.has_put())
         return std::nullopt;
     try {
--- a/src/entry/request_carrier.cc
+++ b/src/entry/request_carrier.cc
@@ -1,5 +1,7 @@
 #include "entry/request_carrier.h"
 
+#include "base/utf8.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -206,7 +208,8 @@
         const auto repeated = std::ranges::count_if(head.fields, [](const auto &field) {
             return equalsIgnoreCase(field.first, keyHeader);
         });
-        if (key.empty() || key.size() > claim_client::maxKeyBytes || repeated > 1)
+        if (key.empty() || key.size() > claim_client::maxKeyBytes || !isVisibleAscii(key)
+            || repeated > 1)
             return refuse(item, badRequest, "not-run", "malformed-key",
                           "malformed Idempotency-Key");
     }
