--- a/bench/bench_agreement.cc
+++ b/bench/bench_agreement.cc
@@ -231,7 +231,7 @@
     std::fflush(stdout);
 }
 
-// The replica's thread does nothing else while it stores a snapshot.
+// A replica stores a snapshot beside its other work.
 void measureSnapshot(environment &env, int megabytes)
 {
     std::filesystem::remove_all(FLAGS_folder);
@@ -242,7 +242,7 @@
     snapshot.term = 1;
     snapshot.data.assign(static_cast<std::size_t>(megabytes) << 20, 's');
     const auto begin = clock_type::now();
-    storage.addSnapshot(snapshot);
+    storage.storeSnapshot(snapshot);
     fmt::print("snapshot megabytes={} store_ms={:.1f}\n", megabytes,
                milliseconds(clock_type::now() - begin));
     std::fflush(stdout);
--- a/src/agreement/file_system.h
+++ b/src/agreement/file_system.h
@@ -53,7 +53,7 @@
 };
 
 // The file operations that storage needs, so that tests can put failures between any two of them.
-// All throw storage_error.
+// All throw storage_error. Threads may work on different files at the same time.
 class file_system
 {
 public:
--- a/src/agreement/replica.cc
+++ b/src/agreement/replica.cc
@@ -351,6 +351,10 @@
     if (output.hard)
         m_storage.save(*output.hard);
     if (output.snapshot) {
+        // The leader's snapshot is newer than one that is being stored.
+        if (m_storing)
+            m_storing->stored.get();
+        m_storing.reset();
         m_storage.install(*output.snapshot);
         m_snapshotIndex = output.snapshot->index;
         m_snapshotBytes = output.snapshot->data.size();
@@ -422,6 +426,10 @@
 
 void replica::takeSnapshotIfDue()
 {
+    if (m_storing) {
+        finishSnapshot();
+        return;
+    }
     if (m_bytesSinceSnapshot <= std::max(m_settings.snapshotAfterBytes, m_snapshotBytes)
         || m_applied <= m_snapshotIndex)
         return;
@@ -430,13 +438,26 @@
     snapshot->term = m_core->termAt(m_applied);
     snapshot->members = m_core->membersAt(m_applied);
     snapshot->data = m_machine.snapshot();
-    const log_index older = m_storage.addSnapshot(*snapshot);
     m_snapshotIndex = m_applied;
     m_snapshotBytes = snapshot->data.size();
     m_bytesSinceSnapshot = 0;
-    m_events.write(event_id::snapshot_taken,
-                   {{"index", m_applied}, {"bytes", m_snapshotBytes}, {"log_from", older}});
-    m_core->compact(std::move(snapshot), older);
+    m_storing = stored_later{snapshot, std::async(std::launch::async, [this, snapshot] {
+                                 m_storage.storeSnapshot(*snapshot);
+                             })};
+}
+
+void replica::finishSnapshot()
+{
+    if (m_storing->stored.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
+        return;
+    m_storing->stored.get();
+    const log_index older = m_storage.dropLog();
+    const auto snapshot = std::move(m_storing->snapshot);
+    m_storing.reset();
+    m_events.write(
+        event_id::snapshot_taken,
+        {{"index", snapshot->index}, {"bytes", snapshot->data.size()}, {"log_from", older}});
+    m_core->compact(snapshot, older);
 }
 
 void replica::publish()
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -18,6 +18,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -146,6 +147,7 @@
     void finishReads();
     void expire(steady_time now);
     void takeSnapshotIfDue();
+    void finishSnapshot();
     void publish();
     void fail(event_id event, const std::string &what);
     void abandonRequests();
@@ -163,6 +165,14 @@
     log_index m_snapshotIndex = 0;
     std::uint64_t m_snapshotBytes = 0; // size of the last snapshot
     std::uint64_t m_bytesSinceSnapshot = 0;
+    // A snapshot that a thread of its own stores, because that may take longer than an election
+    // timeout. The destructor of the future waits for the thread.
+    struct stored_later
+    {
+        std::shared_ptr<const log_snapshot> snapshot;
+        std::future<void> stored;
+    };
+    std::optional<stored_later> m_storing;
     std::map<log_index, pending_submit> m_submits;
     std::map<std::uint64_t, pending_read> m_reads; // by id
 
--- a/src/agreement/replica_storage.cc
+++ b/src/agreement/replica_storage.cc
@@ -176,9 +176,13 @@
     save(m_hard);
 }
 
-log_index replica_storage::addSnapshot(const log_snapshot &snapshot)
+void replica_storage::storeSnapshot(const log_snapshot &snapshot)
 {
     m_snapshots->save(snapshot);
+}
+
+log_index replica_storage::dropLog()
+{
     const log_index older = m_snapshots->olderIndex();
     m_log->dropUpTo(older);
     return older;
--- a/src/agreement/replica_storage.h
+++ b/src/agreement/replica_storage.h
@@ -46,9 +46,11 @@
     void append(std::span<const wire::log_entry> entries);
     // Replaces the log by a snapshot that came from the leader.
     void install(const log_snapshot &snapshot);
-    // Stores this replica's own snapshot and drops the log before the older one kept. Returns the
-    // index of that older one.
-    log_index addSnapshot(const log_snapshot &snapshot);
+    // Stores this replica's own snapshot. May run on another thread, together with save() and
+    // append() but with nothing else.
+    void storeSnapshot(const log_snapshot &snapshot);
+    // Drops the log before the older snapshot kept, and returns that one's index.
+    log_index dropLog();
     std::uint64_t logBytes() const { return m_log->bytes(); }
 
     // Removes all data, on an operator's request, so that the next start is a repair.
--- a/tests/agreement/storage_test.cc
+++ b/tests/agreement/storage_test.cc
@@ -147,7 +147,9 @@
         model next = m_model;
         next.snapshot = snapshot.index;
         allowed = {textOf(m_model), textOf(next)};
-        storage.addSnapshot(snapshot);
+        storage.storeSnapshot(snapshot);
+        allowed = {textOf(next)};
+        storage.dropLog();
         finish(next);
     }
 
@@ -182,9 +184,11 @@
     storage.initialize(makeIdentity());
     storage.save({1, 2});
     storage.append(makeEntries(1, 10, 1));
-    storage.addSnapshot(makeSnapshot(4, 1));
+    storage.storeSnapshot(makeSnapshot(4, 1));
+    storage.dropLog();
     storage.append(makeEntries(11, 14, 1));
-    storage.addSnapshot(makeSnapshot(8, 1));
+    storage.storeSnapshot(makeSnapshot(8, 1));
+    storage.dropLog();
 }
 
 } // namespace
@@ -361,8 +365,10 @@
         storage.save({1, 1});
         for (log_index index = 1; index <= 2'000; ++index) {
             storage.append(makeEntries(index, index, 1));
-            if (index % 20 == 0)
-                storage.addSnapshot(makeSnapshot(index, 1));
+            if (index % 20 == 0) {
+                storage.storeSnapshot(makeSnapshot(index, 1));
+                storage.dropLog();
+            }
         }
         CPPUNIT_ASSERT(storage.logBytes() < 10 * segmentBytes);
         CPPUNIT_ASSERT(files.allFiles().size() < 14);
@@ -384,7 +390,8 @@
             storage.initialize(makeIdentity());
             storage.save({1, 1});
             storage.append(makeEntries(1, 20, 1));
-            storage.addSnapshot(makeSnapshot(10, 1));
+            storage.storeSnapshot(makeSnapshot(10, 1));
+            storage.dropLog();
             CPPUNIT_ASSERT_THROW(replica_storage(files, real, segmentBytes), storage_error);
         }
         replica_storage storage(files, real, segmentBytes);
