Let a learner that hears no leader ask to join again

A learner may hold the entry that added it while the leader that wrote it is lost before the commit. The next leader does not know the learner, and the learner did not ask again because its own log names it, so a repair could wait for ever. Replicas without a vote now ask whenever they hear no leader.

--- a/src/agreement/consensus_core.cc
+++ b/src/agreement/consensus_core.cc
@@ -89,12 +89,6 @@
         && isSame(member, m_settings.incarnation, m_settings.founding);
 }
 
-bool consensus_core::isMember() const
-{
-    const wire::log_member *self = findMember(m_settings.self);
-    return self != nullptr && isSelf(*self);
-}
-
 bool consensus_core::isVoter() const
 {
     const wire::log_member *self = findMember(m_settings.self);
@@ -1014,8 +1008,8 @@
         return;
     }
     resetElectionTimer();
-    if (isMember())
-        return;
+    // Also if this log names it a learner: the leader that added the entry may have been lost
+    // before the entry was committed, and the next leader then does not know this replica.
     for (const replica_id peer : m_settings.peers)
         if (peer != m_settings.self)
             addMessage(m_messages, peer, 0, m_hard.term).mutable_join();
--- a/src/agreement/consensus_core.h
+++ b/src/agreement/consensus_core.h
@@ -23,7 +23,7 @@
     replica_id self = 0;
     std::uint64_t incarnation = 0;
     bool founding = false; // the data folder was created as that of a founding member
-    std::vector<replica_id> peers; // whom a replica that is not a member asks to join
+    std::vector<replica_id> peers; // whom a replica without a vote asks to join
     std::uint64_t seed = 1; // of election timeouts
 
     unsigned electionTicks = 20; // timeouts are drawn from electionTicks to 2 * electionTicks - 1
@@ -167,7 +167,6 @@
     // 0 for an index that is not in the log.
     std::uint64_t termAt(log_index index) const;
     bool isVoter() const;
-    bool isMember() const;
     // As a leader: a majority answered within the last election timeout; otherwise: a leader was
     // heard.
     bool isConnected() const;
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -51,6 +51,9 @@
 // A replica of the log. One thread drives the protocol core, the storage and the state machine. It
 // syncs once for all requests and messages that wait, and only then acknowledges them.
 //
+// A leader that refuses a command because too much is not committed yet names itself as the leader;
+// the command may be submitted again later.
+//
 // After a failed file operation the replica stops for good and acknowledges nothing more; the
 // process should exit and start again.
 class replica final : public replicator
--- a/tests/agreement/consensus_core_test.cc
+++ b/tests/agreement/consensus_core_test.cc
@@ -128,6 +128,7 @@
     CPPUNIT_TEST(changesMembersOnlyAfterOwnCommit);
     CPPUNIT_TEST(leaderWithoutQuorumStepsDown);
     CPPUNIT_TEST(boundsWhatIsInFlight);
+    CPPUNIT_TEST(learnerWithoutLeaderAsksToJoinAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -273,6 +274,28 @@
         CPPUNIT_ASSERT(sent < limits.maxInFlightBytes + 2 * limits.maxBatchBytes);
         CPPUNIT_ASSERT(!one.get().propose(std::string(limits.maxCommandBytes + 1, 'c')));
     }
+
+    // Guards against a repaired replica that waits for ever because the leader that added it was
+    // lost before the entry was committed, while the learner already has the entry.
+    void learnerWithoutLeaderAsksToJoinAgain()
+    {
+        core_settings settings;
+        settings.self = 4;
+        settings.incarnation = incarnationOf(4);
+        settings.peers = {1, 2, 3};
+        core_state state;
+        wire::log_member &self = *state.baseMembers.add_members();
+        self.set_id(4);
+        self.set_incarnation(incarnationOf(4));
+        consensus_core learner(settings, state);
+        for (unsigned i = 0; i < 2 * settings.electionTicks; ++i)
+            learner.tick();
+        std::size_t joins = 0;
+        for (const wire::peer_message &message : learner.takeOutput().messages)
+            joins += message.has_join() ? 1 : 0;
+        CPPUNIT_ASSERT(joins >= settings.peers.size());
+        CPPUNIT_ASSERT(learner.role() == core_role::follower);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(consensus_core_test);
