Close gaps in steering tests found by seeded faults

Faults seeded into a copy went unnoticed in the order of tiers, in the memory of a dip and in the link's burst; each now fails a test. The age limit of reported loads is dropped: their decay already makes it void.

--- a/src/steering/upstream_selector.cc
+++ b/src/steering/upstream_selector.cc
@@ -121,8 +121,7 @@
     const double own = view.slots == 0 ? 1.0 : static_cast<double>(view.inFlight) / view.slots;
     double use = own;
     if (view.reportedLoad && std::isfinite(*view.reportedLoad) && *view.reportedLoad >= 0
-        && *view.reportedLoad <= 1 && view.loadAge <= maxLoadAge
-        && view.loadAge >= std::chrono::milliseconds(0))
+        && *view.reportedLoad <= 1 && view.loadAge >= std::chrono::milliseconds(0))
         use += std::max(*view.reportedLoad - own, 0.0) * std::exp2(-(view.loadAge / loadHalfLife));
     // An upstream without a measurement counts as one unit slow: neither first nor last.
     double latency = 1;
--- a/src/steering/upstream_selector.h
+++ b/src/steering/upstream_selector.h
@@ -72,9 +72,6 @@
     std::string_view rule;
 };
 
-// Reports of the load older than this are ignored.
-constexpr std::chrono::milliseconds maxLoadAge{5000};
-
 // Why `view` cannot take a request now; empty if it can.
 std::string_view ineligibleReason(const upstream_view &view);
 // Lower is better. Latency in units of 10 ms; a load that is missing, old or nonsense is replaced
--- a/tests/steering/link_budget_test.cc
+++ b/tests/steering/link_budget_test.cc
@@ -45,6 +45,9 @@
             }
             CPPUNIT_ASSERT(sent > 0.9 * rate * std::chrono::duration<double>(now - start).count());
         }
+        // Idle time is not saved up beyond the burst.
+        link_budget idle(1'000'000, 1, start);
+        CPPUNIT_ASSERT(idle.balance(start + 1h) <= 100'000);
         link_budget closed(1'000'000, 0, start);
         CPPUNIT_ASSERT(!closed.mayStart(start + 1h));
         CPPUNIT_ASSERT(closed.delay(start) == std::chrono::nanoseconds::max());
--- a/tests/steering/shift_governor_test.cc
+++ b/tests/steering/shift_governor_test.cc
@@ -25,6 +25,7 @@
 {
     CPPUNIT_TEST_SUITE(shift_governor_test);
     CPPUNIT_TEST(neverGrowsByMoreThanCapInAnyWindow);
+    CPPUNIT_TEST(remembersDipForWholeInterval);
     CPPUNIT_TEST(reachesDemandWithGoodMeasurements);
     CPPUNIT_TEST(holdsAndStepsBackWithoutOscillation);
     CPPUNIT_TEST(missingMeasurementsHold);
@@ -70,6 +71,22 @@
         CPPUNIT_ASSERT(atLimit > 10'000);
     }
 
+    // Guards against a dip that is forgotten early because it shares a bucket with an older sample.
+    void remembersDipForWholeInterval()
+    {
+        profile rules;
+        rules.shiftInterval = 60s;
+        shift_governor governor;
+        governor.update(sampleOf(20, 100, true), rules, start);
+        governor.update(sampleOf(10, 100, true), rules, start + 1s);
+        for (int second = 2; second < 60; ++second)
+            governor.update(sampleOf(20, 100, true), rules, start + 1s * second);
+        governor.update(sampleOf(20, 100, true), rules, start + 60500ms);
+        CPPUNIT_ASSERT(governor.limit() <= 20);
+        governor.update(sampleOf(20, 100, true), rules, start + 64s);
+        CPPUNIT_ASSERT(governor.limit() > 20);
+    }
+
     // Guards against a limit that never lets a failed region's load in.
     void reachesDemandWithGoodMeasurements()
     {
--- a/tests/steering/upstream_selector_test.cc
+++ b/tests/steering/upstream_selector_test.cc
@@ -82,6 +82,11 @@
             CPPUNIT_ASSERT(ineligibleReason(views[*actual.upstream]).empty());
             for (std::size_t tier = 0; tier < upstream_tiers::tierCount; ++tier) {
                 const auto members = tiers.tier(tier);
+                for (const std::uint32_t index : members) {
+                    const upstream_tiers::place &place = tiers.places()[index];
+                    CPPUNIT_ASSERT_EQUAL(tier == 0, place.failureDomain == "r00");
+                    CPPUNIT_ASSERT_EQUAL(tier < 2, place.region == "r0");
+                }
                 const bool hasBest = std::ranges::count(members, *best) > 0;
                 CPPUNIT_ASSERT_EQUAL(hasBest, std::ranges::count(members, *actual.upstream) > 0);
                 const auto eligible = std::ranges::count_if(members, [&](std::uint32_t index) {
