Bound foreign load at each receiving instance as well

A lower limit reaches the instances a report period or two after the load has dipped; load that returned meanwhile could grow by more than the cap. Each instance now also keeps to the least of its own last interval plus its part of the step, so the sum keeps to the cap without any message.

--- a/src/steering/shift_governor.cc
+++ b/src/steering/shift_governor.cc
@@ -19,6 +19,29 @@
 
 } // namespace
 
+void load_window::record(std::uint32_t load, std::chrono::milliseconds interval, steady_time now)
+{
+    const auto width
+        = std::chrono::duration_cast<steady_time::duration>(interval) / bucketsPerInterval;
+    if (m_buckets.empty() || now - m_buckets.back().start >= width)
+        m_buckets.push_back({now, load});
+    else
+        m_buckets.back().least = std::min(m_buckets.back().least, load);
+    // A bucket is dropped once all of it, up to the next one's start, is older than the interval.
+    while (m_buckets.size() > 1 && now - m_buckets[1].start > interval)
+        m_buckets.pop_front();
+}
+
+std::uint32_t load_window::least() const
+{
+    return m_buckets.empty() ? 0 : std::ranges::min(m_buckets, {}, &bucket::least).least;
+}
+
+std::uint32_t shiftStep(double shiftCap, std::uint32_t regionSlots)
+{
+    return std::max(1U, static_cast<std::uint32_t>(std::floor(shiftCap * regionSlots + 1e-9)));
+}
+
 std::string_view shift_governor::closeInterval(std::uint32_t step)
 {
     const bool good = m_goodSamples > 0 && m_badSamples == 0;
@@ -47,9 +70,7 @@
 shift_decision shift_governor::update(const shift_sample &sample, const profile &rules,
                                       steady_time now, decision_record *record)
 {
-    // At least one slot, or a small region could never take over anything.
-    const std::uint32_t step = std::max(
-        1U, static_cast<std::uint32_t>(std::floor(rules.shiftCap * sample.regionSlots + 1e-9)));
+    const std::uint32_t step = shiftStep(rules.shiftCap, sample.regionSlots);
     const std::uint32_t before = m_limit;
     std::string_view rule = "within-interval";
     if (!m_isStarted) {
@@ -59,22 +80,13 @@
         m_ceiling = sample.foreignPeak + step;
         rule = "first-sample";
     }
-    const auto width = std::chrono::duration_cast<steady_time::duration>(rules.shiftInterval)
-        / bucketsPerInterval;
-    if (m_buckets.empty() || now - m_buckets.back().start >= width)
-        m_buckets.push_back({now, sample.foreignPeak});
-    else
-        m_buckets.back().least = std::min(m_buckets.back().least, sample.foreignPeak);
-    // A bucket is dropped once all of it, up to the next one's start, is older than the interval.
-    while (m_buckets.size() > 1 && now - m_buckets[1].start > rules.shiftInterval)
-        m_buckets.pop_front();
-
+    m_window.record(sample.foreignPeak, rules.shiftInterval, now);
     ++(isGood(sample, rules) ? m_goodSamples : m_badSamples);
     if (now - m_intervalStart >= rules.shiftInterval) {
         rule = closeInterval(step);
         m_intervalStart = now;
     }
-    const std::uint32_t least = std::ranges::min(m_buckets, {}, &bucket::least).least;
+    const std::uint32_t least = m_window.least();
     m_limit = std::min(m_ceiling, least + step);
     const shift_decision decision{
         m_limit, sample.foreignPeak > least && sample.foreignPeak + step >= m_limit, rule};
@@ -95,6 +107,13 @@
     return decision;
 }
 
+void shift_admission::recordPeak(std::uint32_t foreignPeak, std::uint32_t part,
+                                 std::chrono::milliseconds shiftInterval, steady_time now)
+{
+    m_window.record(foreignPeak, shiftInterval, now);
+    m_ownLimit = m_window.least() + part;
+}
+
 double shift_admission::announced(steady_time now) const
 {
     const std::int64_t current = now.time_since_epoch() / bucketWidth;
@@ -109,7 +128,7 @@
 bool shift_admission::mayAnnounce(double slots, std::uint32_t foreignInFlight,
                                   steady_time now) const
 {
-    return foreignInFlight + announced(now) + slots <= m_limit;
+    return foreignInFlight + announced(now) + slots <= limit();
 }
 
 void shift_admission::announce(double slots, std::chrono::milliseconds lifetime, steady_time now)
--- a/src/steering/shift_governor.h
+++ b/src/steering/shift_governor.h
@@ -4,6 +4,7 @@
 #include "model/profile.h"
 #include "steering/decision_record.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -25,7 +26,39 @@
 // intervals. Missing measurements hold it.
 //
 // The limit is enforced by the receiving entry instances. Their shares of it come from a
-// slot_allocator pool whose capacity is the limit, so that the shares together stay within it.
+// slot_allocator pool whose capacity is the limit. A lower limit reaches them only with the next
+// replies, and load that dipped could return meanwhile; so each instance also bounds its own load
+// by the least of its last interval plus its part of the step. The parts add up to the step, hence
+// the growth of the sum keeps to it in every window, whatever the delay of the shares.
+
+// Least load of the last interval. Kept per 1/32 of the interval, so memory does not depend on its
+// length; a value is forgotten at most 1/32 of the interval late, never early.
+class load_window
+{
+public:
+    void record(std::uint32_t load, std::chrono::milliseconds interval, steady_time now);
+    // Zero before the first record.
+    std::uint32_t least() const;
+
+private:
+    static constexpr int bucketsPerInterval = 32;
+    struct bucket
+    {
+        steady_time start;
+        std::uint32_t least = 0;
+    };
+    std::deque<bucket> m_buckets;
+};
+
+// Part of a step for the instance at `position` of `count`. The parts add up to the step.
+constexpr std::uint32_t stepPart(std::uint32_t step, std::uint32_t count, std::uint32_t position)
+{
+    return count == 0 ? 0 : step / count + (position < step % count ? 1 : 0);
+}
+
+// Slots by which the load of a region may grow in an interval: at least one, or a small region
+// could never take over anything.
+std::uint32_t shiftStep(double shiftCap, std::uint32_t regionSlots);
 
 struct shift_sample
 {
@@ -53,19 +86,11 @@
     std::uint32_t limit() const { return m_limit; }
 
 private:
-    // Least loads are kept per 1/32 of the interval, so memory does not depend on its length.
-    static constexpr int bucketsPerInterval = 32;
     static constexpr std::uint32_t holdIntervals = 2;
-
-    struct bucket
-    {
-        steady_time start;
-        std::uint32_t least = 0;
-    };
     std::string_view closeInterval(std::uint32_t step);
 
     bool m_isStarted = false;
-    std::deque<bucket> m_buckets;
+    load_window m_window;
     steady_time m_intervalStart;
     std::uint32_t m_goodSamples = 0;
     std::uint32_t m_badSamples = 0;
@@ -81,9 +106,14 @@
 class shift_admission
 {
 public:
-    // Share of the limit held by this instance; see shift_governor.
-    void setLimit(std::uint32_t slots) { m_limit = slots; }
-    bool mayAdmit(std::uint32_t foreignInFlight) const { return foreignInFlight < m_limit; }
+    // Share of the limit held by this instance.
+    void setShare(std::uint32_t slots) { m_share = slots; }
+    // Call once a report period with the peak of foreign requests in flight during it, and this
+    // instance's part of the step.
+    void recordPeak(std::uint32_t foreignPeak, std::uint32_t part,
+                    std::chrono::milliseconds shiftInterval, steady_time now);
+    std::uint32_t limit() const { return std::min(m_share, m_ownLimit); }
+    bool mayAdmit(std::uint32_t foreignInFlight) const { return foreignInFlight < limit(); }
 
     // True if an answer that will bring `slots` of load fits below the limit together with the
     // load in flight and the answers of the last cache lifetime.
@@ -102,7 +132,9 @@
         double load = 0;
     };
     std::array<bucket, bucketCount> m_buckets{};
-    std::uint32_t m_limit = 0;
+    load_window m_window;
+    std::uint32_t m_share = 0;
+    std::uint32_t m_ownLimit = 0;
 };
 
 } // namespace buckthorngrade
--- a/tests/steering/shift_governor_test.cc
+++ b/tests/steering/shift_governor_test.cc
@@ -25,6 +25,7 @@
 {
     CPPUNIT_TEST_SUITE(shift_governor_test);
     CPPUNIT_TEST(neverGrowsByMoreThanCapInAnyWindow);
+    CPPUNIT_TEST(instancesTogetherKeepCapDespiteLateShares);
     CPPUNIT_TEST(remembersDipForWholeInterval);
     CPPUNIT_TEST(reachesDemandWithGoodMeasurements);
     CPPUNIT_TEST(holdsAndStepsBackWithoutOscillation);
@@ -71,6 +72,46 @@
         CPPUNIT_ASSERT(atLimit > 10'000);
     }
 
+    // Guards against load that dips and returns before a lower limit has reached the instances.
+    void instancesTogetherKeepCapDespiteLateShares()
+    {
+        std::uint32_t highest = 0;
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            std::mt19937_64 random(seed);
+            const profile rules;
+            const std::uint32_t slots = 40 + static_cast<std::uint32_t>(random() % 200);
+            const std::uint32_t step = shiftStep(rules.shiftCap, slots);
+            const std::uint32_t count = 1 + static_cast<std::uint32_t>(random() % 6);
+            std::vector<shift_admission> instances(count);
+            shift_governor governor;
+            std::vector<std::uint32_t> sums;
+            std::uint32_t demand = 0;
+            for (int second = 0; second < 300; ++second) {
+                const steady_time now = start + 1s * second;
+                if (random() % 10 == 0)
+                    demand = static_cast<std::uint32_t>(random() % 60);
+                std::uint32_t sum = 0;
+                for (std::uint32_t i = 0; i < count; ++i) {
+                    const std::uint32_t peak
+                        = random() % 15 == 0 ? 0 : std::min(demand, instances[i].limit());
+                    sum += peak;
+                    instances[i].recordPeak(peak, stepPart(step, count, i), rules.shiftInterval,
+                                            now);
+                    // Shares arrive late or not at all.
+                    if (random() % 3 == 0)
+                        instances[i].setShare(governor.limit());
+                }
+                governor.update(sampleOf(sum, slots, random() % 30 != 0), rules, now);
+                sums.push_back(sum);
+                highest = std::max(highest, sum);
+                for (int back = 0; back <= std::min(second, 10); ++back)
+                    CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {} second {}", seed, second),
+                                           sum <= sums[sums.size() - 1 - back] + step);
+            }
+        }
+        CPPUNIT_ASSERT(highest > 40);
+    }
+
     // Guards against a dip that is forgotten early because it shares a bucket with an older sample.
     void remembersDipForWholeInterval()
     {
@@ -142,7 +183,8 @@
         for (std::uint64_t seed = 1; seed <= 50; ++seed) {
             std::mt19937_64 random(seed);
             shift_admission admission;
-            admission.setLimit(20);
+            admission.setShare(20);
+            admission.recordPeak(0, 20, 10s, start);
             steady_time now = start;
             std::uint32_t inFlight = 0;
             std::vector<std::pair<steady_time, int>> cached; // expiry, requests still to come
