--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -50,6 +50,8 @@
         std::mt19937_64 random(FLAGS_seed);
         std::vector<upstream_tiers::place> places;
         std::vector<upstream_view> views;
+        places.reserve(count);
+        views.reserve(count);
         for (std::size_t i = 0; i < count; ++i) {
             places.push_back({fmt::format("u{}", i), "r", "d"});
             upstream_view view;
@@ -78,10 +80,12 @@
         std::vector<slot_member> members;
         std::map<std::string, std::uint32_t> demands;
         std::mt19937_64 random(FLAGS_seed);
+        pools.reserve(static_cast<std::size_t>(upstreams));
         for (int i = 0; i < upstreams; ++i)
             pools.push_back({"svc", fmt::format("u{}", i), fmt::format("r{}", i % 3),
                              fmt::format("r{}{}", i % 3, i / 3 % 2), 6});
         const std::uint32_t positions = static_cast<std::uint32_t>(instances) / 3 + 1;
+        members.reserve(static_cast<std::size_t>(instances));
         for (int i = 0; i < instances; ++i) {
             members.push_back({fmt::format("i{}", i), fmt::format("r{}", i % 3),
                                fmt::format("r{}{}", i % 3, i / 3 % 2),
--- a/tests/steering/slot_allocator_test.cc
+++ b/tests/steering/slot_allocator_test.cc
@@ -446,6 +446,8 @@
     CPPUNIT_TEST(servesAboutAsMuchDemandAsReference);
     CPPUNIT_TEST(drainTakesAllSlotsBack);
     CPPUNIT_TEST(rampsUpStartedUpstream);
+    CPPUNIT_TEST(keepsMovingCapacity);
+    CPPUNIT_TEST(removedMemberStaysChargedUntilSilent);
     CPPUNIT_TEST(leaseFallsBackToReservedSlots);
     CPPUNIT_TEST(rejectsMalformedSettings);
     CPPUNIT_TEST_SUITE_END();
@@ -596,6 +598,50 @@
         CPPUNIT_ASSERT(cluster.allocator.status(service, "u3").capacity == 8);
     }
 
+    // Guards against grants above a capacity that moves, as the foreign limit of a region does.
+    void keepsMovingCapacity()
+    {
+        calm_cluster cluster({{service, "u0", "r0", "r00", 50}}, fourMembers, {0, 0, 1});
+        for (auto &[name, demand] : cluster.demand)
+            demand = 20;
+        for (const std::uint32_t capacity : {30U, 8U, 45U, 0U}) {
+            cluster.allocator.setCapacity(service, "u0", capacity);
+            cluster.periods(20);
+            std::uint32_t granted = 0;
+            for (const slot_member &member : fourMembers)
+                granted += cluster.held(member.instance);
+            CPPUNIT_ASSERT(granted <= capacity && granted + fourMembers.size() >= capacity);
+        }
+    }
+
+    // Guards against slots of a removed instance that are granted while it may still use them.
+    void removedMemberStaysChargedUntilSilent()
+    {
+        calm_cluster cluster(twoRegions(8), fourMembers);
+        cluster.demand["a"] = 60;
+        cluster.periods(10);
+        std::vector<std::uint32_t> before;
+        before.reserve(cluster.pools.size());
+        for (const slot_pool &pool : cluster.pools)
+            before.push_back(cluster.allocator.granted("a", service, pool.upstream));
+        const steady_time removedAt = cluster.now;
+        cluster.members.erase(cluster.members.begin());
+        cluster.allocator.setMembers(cluster.members, cluster.now);
+        for (auto &[name, demand] : cluster.demand)
+            demand = 100;
+        while (cluster.now < removedAt + cluster.allocator.silenceLimit(service) - 2s) {
+            cluster.periods(1);
+            for (std::size_t i = 0; i < cluster.pools.size(); ++i) {
+                std::uint32_t granted = before[i];
+                for (const slot_member &member : cluster.members)
+                    granted += cluster.leases[member.instance][i].allowed(cluster.now);
+                CPPUNIT_ASSERT(granted <= cluster.pools[i].slots);
+            }
+        }
+        cluster.periods(15);
+        CPPUNIT_ASSERT(cluster.held("b") + cluster.held("c") + cluster.held("d") >= 60);
+    }
+
     // Guards against slots used after a lease, and against a lapsed lease that a proof or a late
     // reply brings back.
     void leaseFallsBackToReservedSlots()
