--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <numeric>
 #include <queue>
@@ -31,16 +32,16 @@
 template <typename Work>
 double microsecondsPerCall(Work work)
 {
-    using clock = std::chrono::steady_clock;
-    const auto start = clock::now();
+    // CPU time, so that other work on the machine counts less.
+    const std::clock_t start = std::clock();
     std::size_t calls = 0;
-    std::chrono::duration<double, std::micro> elapsed{0};
+    double elapsed = 0;
     do {
         work(calls);
         ++calls;
-        elapsed = clock::now() - start;
-    } while (elapsed.count() < FLAGS_seconds * 1e6);
-    return elapsed.count() / static_cast<double>(calls);
+        elapsed = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    } while (elapsed < FLAGS_seconds);
+    return 1e6 * elapsed / static_cast<double>(calls);
 }
 
 void benchSelection()
--- a/bench/bench_lookup_table.cc
+++ b/bench/bench_lookup_table.cc
@@ -12,6 +12,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
+#include <ctime>
 #include <random>
 #include <set>
 #include <vector>
@@ -61,21 +63,21 @@
     return result;
 }
 
-// Calls a second of `work(i)`.
+// Calls of `work(i)` a second of CPU time.
 template <typename Work>
 double measure(Work work)
 {
-    using clock = std::chrono::steady_clock;
-    const auto start = clock::now();
+    // CPU time, so that other work on the machine counts less.
+    const std::clock_t start = std::clock();
     std::size_t calls = 0;
-    std::chrono::duration<double> elapsed{0};
+    double elapsed = 0;
     do {
         for (std::size_t i = 0; i < batch; ++i)
             work(calls + i);
         calls += batch;
-        elapsed = clock::now() - start;
-    } while (elapsed.count() < FLAGS_seconds);
-    return static_cast<double>(calls) / elapsed.count();
+        elapsed = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    } while (elapsed < FLAGS_seconds);
+    return static_cast<double>(calls) / elapsed;
 }
 
 std::vector<lookup_candidate> makeInstances(int count)
