--- a/src/control/allocation_service.cc
+++ b/src/control/allocation_service.cc
@@ -19,6 +19,12 @@
     return result;
 }
 
+// At least one slot, as in shift_governor.
+std::uint32_t stepOf(const profile &rules, std::uint32_t regionSlots)
+{
+    return std::max(1U, static_cast<std::uint32_t>(rules.shiftCap * regionSlots));
+}
+
 } // namespace
 
 std::string foreignPoolName(const std::string &service)
@@ -61,8 +67,8 @@
     } else if (m_leader->quorumSince != confirmed->unbrokenSince) {
         m_leader->quorumSince = confirmed->unbrokenSince;
         m_leader->slots->setQuorumSince(confirmed->unbrokenSince);
-        for (const auto &[region, pools] : m_leader->foreign)
-            pools->setQuorumSince(confirmed->unbrokenSince);
+        for (const auto &[key, shift] : m_leader->shifts)
+            shift.shares->setQuorumSince(confirmed->unbrokenSince);
     }
     return true;
 }
@@ -88,6 +94,9 @@
                              upstream.slots});
             m_leader->shifts[{service.name, region}].regionSlots += upstream.slots;
         }
+        for (const region_spec &region : m_settings.deployment.regions)
+            if (m_leader->shifts.contains({service.name, region.name}))
+                startShift(service, region.name, confirmed.unbrokenSince);
     }
     slot_allocator_settings options;
     options.term = confirmed.term;
@@ -96,36 +105,55 @@
         options.positions[region.name] = region.entryInstances;
     m_leader->slots = std::make_unique<slot_allocator>(options, std::move(pools), m_leader->rules,
                                                        confirmed.unbrokenSince);
-    startForeign(confirmed.unbrokenSince);
     followMembers(m_clock.now());
     followDrains();
     m_events.write(event_id::allocation_term_started,
                    {{"term", confirmed.term}, {"members", m_leader->members.size()}});
 }
 
-void allocation_service::startForeign(steady_time now)
+void allocation_service::startShift(const service_spec &service, const std::string &region,
+                                    steady_time now)
 {
-    for (const region_spec &region : m_settings.deployment.regions) {
-        std::vector<slot_pool> pools;
-        std::map<std::string, slot_rules> rules;
-        for (const service_spec &service : m_settings.deployment.services) {
-            const auto shift = m_leader->shifts.find({service.name, region.name});
-            if (shift == m_leader->shifts.end())
-                continue;
-            const std::string name = foreignPoolName(service.name);
-            pools.push_back({name, region.name, region.name, "", shift->second.regionSlots});
-            slot_rules &rule = rules[name];
-            rule.reservedShare = 0;
-            rule.regionLimit = 1;
-            rule.requestDeadline = service.requestDeadline;
-            rule.warmup = std::chrono::milliseconds(0);
-        }
-        slot_allocator_settings options;
-        options.term = m_leader->term;
-        options.membersAreComplete = true;
-        m_leader->foreign[region.name]
-            = std::make_unique<slot_allocator>(options, std::move(pools), rules, now);
+    shift_state &shift = m_leader->shifts.at({service.name, region});
+    const std::string name = foreignPoolName(service.name);
+    slot_rules rules;
+    rules.reservedShare = 0;
+    rules.regionLimit = 1;
+    rules.requestDeadline = service.requestDeadline;
+    rules.warmup = std::chrono::milliseconds(0);
+    slot_allocator_settings options;
+    options.term = m_leader->term;
+    options.membersAreComplete = true;
+    shift.shares = std::make_unique<slot_allocator>(
+        options, std::vector<slot_pool>{{name, region, region, "", shift.regionSlots}},
+        std::map<std::string, slot_rules>{{name, rules}}, now);
+}
+
+// Chooses who has a share of the limit: those that hold some, then those that ask for some. All
+// members take part until the table is complete, so that no earlier holder is overlooked.
+void allocation_service::shareAmong(const std::string &region, shift_state &shift, steady_time now)
+{
+    std::vector<slot_member> members;
+    std::ranges::copy_if(m_leader->members, std::back_inserter(members),
+                         [&](const slot_member &member) { return member.region == region; });
+    if (shift.isStarted && shift.limit < members.size()) {
+        const auto rank = [&](const slot_member &member) {
+            const auto claim = shift.claims.find(member.instance);
+            if (claim == shift.claims.end())
+                return std::pair(2, member.instance);
+            return std::pair(claim->second.held > 0 ? 0 : claim->second.isAsking ? 1 : 2,
+                             member.instance);
+        };
+        std::ranges::sort(members, {}, rank);
+        members.resize(std::max<std::size_t>(shift.limit, 1));
     }
+    std::vector<std::string> names;
+    std::ranges::transform(members, std::back_inserter(names), &slot_member::instance);
+    std::ranges::sort(names);
+    if (names == shift.sharing)
+        return;
+    shift.sharing = std::move(names);
+    shift.shares->setMembers(members, now);
 }
 
 slot_rules allocation_service::rulesOf(const service_spec &service, const profile &current,
@@ -203,14 +231,9 @@
             member.position = record.position();
     }
     m_leader->slots->setMembers(members, now);
-    for (const auto &[region, pools] : m_leader->foreign) {
-        std::vector<slot_member> near;
-        std::ranges::copy_if(members, std::back_inserter(near), [&](const slot_member &member) {
-            return member.region == region;
-        });
-        pools->setMembers(near, now);
-    }
     m_leader->members = std::move(members);
+    for (auto &[key, shift] : m_leader->shifts)
+        shareAmong(key.second, shift, now);
 }
 
 void allocation_service::followDrains()
@@ -313,7 +336,8 @@
         const auto shift = m_leader->shifts.find({foreign.service(), report.region()});
         if (shift != m_leader->shifts.end())
             shift->second.claims[report.instance()]
-                = {foreign.held(), std::max(foreign.peak_in_flight(), foreign.in_flight()), now};
+                = {foreign.held(), std::max(foreign.peak_in_flight(), foreign.in_flight()),
+                   foreign.waiting() > 0 || foreign.refused() > 0, now};
     }
 }
 
@@ -348,34 +372,32 @@
 void allocation_service::allocateForeign(const wire::report_request &report,
                                          wire::report_reply &reply, steady_time now)
 {
-    const auto pools = m_leader->foreign.find(report.region());
-    if (pools == m_leader->foreign.end() || report.foreign().empty())
-        return;
-    slot_report claims = slotReport(report);
     for (const wire::foreign_demand &foreign : report.foreign()) {
+        const auto found = m_leader->shifts.find({foreign.service(), report.region()});
+        if (found == m_leader->shifts.end())
+            continue;
+        shift_state &shift = found->second;
         const std::string name = foreignPoolName(foreign.service());
+        if (!shift.isStarted) {
+            std::uint32_t held = 0;
+            for (const auto &[instance, claim] : shift.claims)
+                held += claim.held;
+            shift.limit
+                = held + stepOf(m_leader->profiles[foreign.service()], shift.regionSlots);
+            shift.shares->setCapacity(name, report.region(), shift.limit);
+        }
+        slot_report claims = slotReport(report);
         claims.pools.push_back(
             {name, report.region(), foreign.held(), foreign.in_flight(), foreign.epoch()});
         claims.demands.push_back(
             {name, foreign.peak_in_flight(), foreign.waiting(), foreign.refused()});
-        const auto shift = m_leader->shifts.find({foreign.service(), report.region()});
-        if (shift == m_leader->shifts.end() || shift->second.isStarted)
-            continue;
-        std::uint32_t held = 0;
-        for (const auto &[instance, claim] : shift->second.claims)
-            held += claim.held;
-        const profile &rules = m_leader->profiles[foreign.service()];
-        const auto step = std::max(
-            1U, static_cast<std::uint32_t>(rules.shiftCap * shift->second.regionSlots));
-        shift->second.limit = held + step;
-        pools->second->setCapacity(name, report.region(), shift->second.limit);
-    }
-    for (const pool_grant &grant : pools->second->report(claims, now).grants) {
-        wire::foreign_limit &limit = *reply.add_foreign_limits();
-        limit.set_service(grant.service.substr(0, grant.service.rfind('/')));
-        limit.set_region(grant.upstream);
-        limit.set_slots(grant.grant.slots);
-        limit.set_epoch(grant.grant.epoch);
+        for (const pool_grant &grant : shift.shares->report(claims, now).grants) {
+            wire::foreign_limit &limit = *reply.add_foreign_limits();
+            limit.set_service(foreign.service());
+            limit.set_region(report.region());
+            limit.set_slots(grant.grant.slots);
+            limit.set_epoch(grant.grant.epoch);
+        }
     }
 }
 
@@ -383,11 +405,8 @@
 {
     for (auto &[key, shift] : m_leader->shifts) {
         const auto &[service, region] = key;
-        const auto pools = m_leader->foreign.find(region);
-        if (pools == m_leader->foreign.end())
-            continue;
         const std::string name = foreignPoolName(service);
-        if (!shift.isStarted && !pools->second->isHandoverComplete(name))
+        if (!shift.isStarted && !shift.shares->isHandoverComplete(name))
             continue;
         shift_sample sample;
         std::erase_if(shift.claims,
@@ -405,8 +424,10 @@
         shift.isStarted = true;
         const shift_decision decision
             = shift.governor.update(sample, m_leader->profiles[service], now);
-        if (decision.limit == shift.limit)
+        if (decision.limit == shift.limit) {
+            shareAmong(region, shift, now);
             continue;
+        }
         m_events.write(event_id::shift_limit_changed,
                        {{"service", service},
                         {"region", region},
@@ -415,7 +436,8 @@
                         {"foreign_peak", sample.foreignPeak},
                         {"rule", decision.rule}});
         shift.limit = decision.limit;
-        pools->second->setCapacity(name, region, std::min(decision.limit, shift.regionSlots));
+        shareAmong(region, shift, now);
+        shift.shares->setCapacity(name, region, std::min(decision.limit, shift.regionSlots));
     }
 }
 
@@ -430,8 +452,8 @@
     followDrains();
     finishShareChanges();
     m_leader->slots->advance(now);
-    for (const auto &[region, pools] : m_leader->foreign)
-        pools->advance(now);
+    for (const auto &[key, shift] : m_leader->shifts)
+        shift.shares->advance(now);
     sampleShifts(now);
 }
 
--- a/src/control/allocation_service.h
+++ b/src/control/allocation_service.h
@@ -31,7 +31,8 @@
 //
 // The limit on foreign load of a service in a region is a pool of its own, whose capacity is what
 // shift_governor allows. Until the table of a new term is complete, that capacity stays at what the
-// instances say they hold, plus one step.
+// instances say they hold, plus one step. A limit below the number of instances is shared among as
+// many of them as get one slot each; a fair share below one slot would be no slot for anyone.
 class allocation_service
 {
 public:
@@ -78,6 +79,7 @@
     {
         std::uint32_t held = 0;
         std::uint32_t peak = 0;
+        bool isAsking = false; // for more than it holds
         steady_time at;
     };
     // Of one service in one region.
@@ -87,6 +89,8 @@
         bool isStarted = false;
         std::uint32_t regionSlots = 0;
         std::uint32_t limit = 0;
+        std::unique_ptr<slot_allocator> shares;
+        std::vector<std::string> sharing; // members that have a share, ordered
         region_load load; // since the last sample
         std::map<std::string, foreign_claim> claims; // by instance
     };
@@ -111,7 +115,6 @@
         std::uint64_t revision = 0; // of the rules and drains in use
         std::optional<std::uint64_t> membersVersion;
         std::unique_ptr<slot_allocator> slots;
-        std::map<std::string, std::unique_ptr<slot_allocator>> foreign; // by region
         std::map<std::string, slot_rules> rules; // by service
         std::map<std::string, profile> profiles; // by service
         std::map<std::pair<std::string, std::string>, bool> drained; // by service, upstream
@@ -123,7 +126,8 @@
 
     bool enter(std::uint64_t term);
     void startTerm(const confirmation::value &confirmed);
-    void startForeign(steady_time now);
+    void startShift(const service_spec &service, const std::string &region, steady_time now);
+    void shareAmong(const std::string &region, shift_state &shift, steady_time now);
     slot_rules rulesOf(const service_spec &service, const profile &current, double held) const;
     profile currentProfile(const service_spec &service) const;
     double largestShare(const service_spec &service) const;
