--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -53,9 +53,8 @@
         return std::make_unique<replica>(replicaSettings(config, initialize), files, state, link,
                                          clock, events, metrics);
     } catch (const storage_corruption &failure) {
-        events.write(
-            event_id::data_folder_corrupt,
-            {{"folder", config.control.dataFolder.string()}, {"reason", failure.what()}});
+        events.write(event_id::data_folder_corrupt,
+                     {{"folder", config.control.dataFolder.string()}, {"reason", failure.what()}});
         throw;
     }
 }
--- a/src/control/control_instance.cc
+++ b/src/control/control_instance.cc
@@ -1,8 +1,8 @@
 #include "control/control_instance.h"
 
 #include <fmt/format.h>
-#include <grpcpp/security/server_credentials.h>
 #include <grpcpp/resource_quota.h>
+#include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server_builder.h>
 
 namespace buckthorngrade {
