--- a/src/control/allocation_service.cc
+++ b/src/control/allocation_service.cc
@@ -59,8 +59,7 @@
 bool allocation_service::enter(std::uint64_t term)
 {
     const auto confirmed = m_confirmed.read();
-    if (!confirmed || confirmed->term != term
-        || m_clock.now() - confirmed->at > longestUnconfirmed)
+    if (!confirmed || confirmed->term != term || m_clock.now() - confirmed->at > longestUnconfirmed)
         return false;
     if (!m_leader || m_leader->term != term) {
         startTerm(*confirmed);
@@ -75,7 +74,7 @@
 
 void allocation_service::startTerm(const confirmation::value &confirmed)
 {
-    m_leader.emplace();
+    m_leader = std::make_unique<leadership>();
     m_leader->term = confirmed.term;
     m_leader->quorumSince = confirmed.unbrokenSince;
     m_leader->revision = m_state.revision();
@@ -90,8 +89,8 @@
             m_leader->shares[service.name] = {largest, ++m_changes, {}};
         for (const upstream_spec &upstream : service.upstreams) {
             const std::string region = m_settings.deployment.regionOf(upstream.failureDomain);
-            pools.push_back({service.name, upstream.name, region, upstream.failureDomain,
-                             upstream.slots});
+            pools.push_back(
+                {service.name, upstream.name, region, upstream.failureDomain, upstream.slots});
             m_leader->shifts[{service.name, region}].regionSlots += upstream.slots;
         }
         for (const region_spec &region : m_settings.deployment.regions)
@@ -141,7 +140,9 @@
             const auto claim = shift.claims.find(member.instance);
             if (claim == shift.claims.end())
                 return std::pair(2, member.instance);
-            return std::pair(claim->second.held > 0 ? 0 : claim->second.isAsking ? 1 : 2,
+            return std::pair(claim->second.held > 0       ? 0
+                                 : claim->second.isAsking ? 1
+                                                          : 2,
                              member.instance);
         };
         std::ranges::sort(members, {}, rank);
@@ -273,9 +274,8 @@
     for (const wire::upstream_demand &pool : report.upstreams()) {
         bool &applied = hasApplied.try_emplace(pool.service(), true).first->second;
         const auto granted = last->second.grants.find({pool.service(), pool.upstream()});
-        const allocation_epoch needed = granted == last->second.grants.end()
-            ? epochOfTerm(m_leader->term)
-            : granted->second;
+        const allocation_epoch needed
+            = granted == last->second.grants.end() ? epochOfTerm(m_leader->term) : granted->second;
         applied = applied && pool.epoch() >= needed;
     }
     for (auto &[service, share] : m_leader->shares)
@@ -382,8 +382,7 @@
             std::uint32_t held = 0;
             for (const auto &[instance, claim] : shift.claims)
                 held += claim.held;
-            shift.limit
-                = held + stepOf(m_leader->profiles[foreign.service()], shift.regionSlots);
+            shift.limit = held + stepOf(m_leader->profiles[foreign.service()], shift.regionSlots);
             shift.shares->setCapacity(name, report.region(), shift.limit);
         }
         slot_report claims = slotReport(report);
@@ -418,8 +417,8 @@
         if (load.answers > 0) {
             sample.latency = std::chrono::microseconds(
                 std::llround(load.latencySum / static_cast<double>(load.answers)));
-            sample.shedShare = static_cast<double>(load.sheds)
-                / static_cast<double>(load.answers + load.sheds);
+            sample.shedShare
+                = static_cast<double>(load.sheds) / static_cast<double>(load.answers + load.sheds);
         }
         shift.isStarted = true;
         const shift_decision decision
--- a/src/control/allocation_service.h
+++ b/src/control/allocation_service.h
@@ -154,7 +154,7 @@
     std::map<std::pair<std::string, std::string>, const upstream_spec *> m_upstreams;
     mutable std::mutex m_mutex;
     std::uint64_t m_changes = 0; // numbers the changes of shares
-    std::optional<leadership> m_leader;
+    std::unique_ptr<leadership> m_leader; // null while this instance does not lead
 };
 
 // Service name of the pool that holds the limit on a service's foreign load.
--- a/src/control/feed_service.cc
+++ b/src/control/feed_service.cc
@@ -38,24 +38,20 @@
     // Starts a write if none is under way and there is something to send.
     void poke(bool keepalive)
     {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_writing || m_finished || !prepare(keepalive))
-                return;
-            m_writing = true;
-        }
+        // The lock is kept until the write has begun: none may begin after Finish().
+        const std::lock_guard lock(m_mutex);
+        if (m_writing || m_finished || !prepare(keepalive))
+            return;
+        m_writing = true;
         m_service.m_sentBytes.add(m_update.ByteSizeLong());
         StartWrite(&m_update);
     }
 
     void finish(const grpc::Status &status)
     {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (std::exchange(m_finished, true))
-                return;
-        }
-        Finish(status);
+        const std::lock_guard lock(m_mutex);
+        if (!std::exchange(m_finished, true))
+            Finish(status);
     }
 
     void OnWriteDone(bool ok) override
--- a/tests/integration/control_entries_test.cc
+++ b/tests/integration/control_entries_test.cc
@@ -31,10 +31,8 @@
 
     static std::uint64_t change(deployment &system, std::uint64_t base)
     {
-        const http_response answer
-            = system.putProfile("fast", base,
-                                system.profileYaml("fast")
-                                    + fmt::format("max_retries: {}\n", base % 5));
+        const http_response answer = system.putProfile(
+            "fast", base, system.profileYaml("fast") + fmt::format("max_retries: {}\n", base % 5));
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body + answer.failure, 200, answer.status);
         return parse(answer.body)->getValue<std::uint64_t>("revision");
     }
@@ -131,17 +129,16 @@
         system.kill("entry-2");
         waitForState(system, "entry-2", "dead");
         const std::string settings = "--config=" + system.settingsFile("control-1").string();
-        const process_result removed
-            = runProcess(std::string(BG_BINARY_DIR) + "/buckthorngrade",
-                         {"instance", "remove", "entry-2", settings, "--operator=anna",
-                          "--reason=test"});
+        const process_result removed = runProcess(
+            std::string(BG_BINARY_DIR) + "/buckthorngrade",
+            {"instance", "remove", "entry-2", settings, "--operator=anna", "--reason=test"});
         CPPUNIT_ASSERT_EQUAL_MESSAGE(removed.output + removed.errors, 0, removed.code);
         waitForState(system, "entry-2", "removed");
         system.start("entry-2");
         system.waitReady("entry-2");
         waitForState(system, "entry-2", "live");
-        const process_result members = runProcess(
-            std::string(BG_BINARY_DIR) + "/buckthorngrade", {"member", "list", settings});
+        const process_result members = runProcess(std::string(BG_BINARY_DIR) + "/buckthorngrade",
+                                                  {"member", "list", settings});
         CPPUNIT_ASSERT_EQUAL_MESSAGE(members.errors, 0, members.code);
         const auto voters = members.output.find("voter");
         CPPUNIT_ASSERT_MESSAGE(members.output, voters != std::string::npos);
