--- a/src/control/admin_server.cc
+++ b/src/control/admin_server.cc
@@ -138,7 +138,7 @@
         Poco::JSON::Parser parser(new strict_handler);
         constexpr std::size_t maxDepth = 4;
         parser.setDepth(maxDepth);
-        const auto object = parser.parse(body).extract<Object::Ptr>();
+        auto object = parser.parse(body).extract<Object::Ptr>();
         for (const auto &[name, value] : *object)
             if (!known.contains(name))
                 throw bad_request(
