--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <future>
 #include <random>
@@ -61,6 +62,8 @@
 {
     edit_headers headers{FLAGS_request_id.empty() ? newRequestId() : FLAGS_request_id,
                          FLAGS_operator, FLAGS_reason};
+    if (const char *user = std::getenv("USER"); headers.operatorName.empty() && user)
+        headers.operatorName = user;
     checkHeader("operator", headers.operatorName);
     checkHeader("reason", headers.reason);
     checkHeader("request_id", headers.requestId);
--- a/src/cli/common_flags.cc
+++ b/src/cli/common_flags.cc
@@ -11,7 +11,7 @@
 DEFINE_string(config, "", "settings file of a process");
 DEFINE_string(control, "", "control instances, IP:port[,IP:port ...]; instead of --config");
 DEFINE_string(entry, "", "entry instance to ask, IP:port; instead of finding one through control");
-DEFINE_string(operator, "", "name that the audit history shows");
+DEFINE_string(operator, "", "name that the audit history shows; $USER if not given");
 DEFINE_string(output, "table", "json or table");
 DEFINE_string(reason, "", "reason that the audit history shows");
 DEFINE_string(request_id, "", "id of an earlier attempt, to send the same change again safely");
--- a/src/cli/wait_in_force.cc
+++ b/src/cli/wait_in_force.cc
@@ -22,16 +22,18 @@
     std::size_t known = 0;
     std::vector<std::string> missing;
     bool hasLeader = false;
+    bool isComplete = true; // false: a new leader has not heard from every instance yet
 
-    bool isDone() const { return hasLeader && known > 0 && missing.empty(); }
+    bool isDone() const { return hasLeader && isComplete && known > 0 && missing.empty(); }
     std::string text() const
     {
         if (!hasLeader)
             return "no connected leader answers";
         if (known == 0)
             return "no entry instance has reported to the leader";
-        return fmt::format("in force on {} of {} entry instances{}{}", known - missing.size(),
-                           known, missing.empty() ? "" : "; missing: ", fmt::join(missing, ", "));
+        return fmt::format("in force on {} of {} entry instances{}{}{}", known - missing.size(),
+                           known, missing.empty() ? "" : "; missing: ", fmt::join(missing, ", "),
+                           isComplete ? "" : "; the new leader is still collecting reports");
     }
 };
 
@@ -42,6 +44,7 @@
     const auto status = readControlView(addresses, timeout).leader();
     const auto instances = status ? status->getArray("instances") : nullptr;
     result.hasLeader = !status.isNull();
+    result.isComplete = !status || status->optValue("instances_complete", true);
     for (std::size_t i = 0; instances && i < instances->size(); ++i) {
         const auto instance = instances->getObject(static_cast<unsigned>(i));
         const std::string state = instance ? fieldText(*instance, "state") : "removed";
--- a/tests/cli/admin_test.cc
+++ b/tests/cli/admin_test.cc
@@ -198,6 +198,10 @@
     void waitProvesNothingWithoutInstances()
     {
         CPPUNIT_ASSERT_EQUAL(int(exit_unreachable), setAndWait({}).code);
+        const process_result result
+            = setAndWait({instanceJson("entry-1", "live", 12)}, R"("instances_complete":false,)");
+        CPPUNIT_ASSERT_EQUAL(int(exit_unreachable), result.code);
+        assertContains(result.errors, "still collecting reports");
     }
 
     void drainsAreAnnouncedListedAndCancelled()
@@ -302,9 +306,11 @@
         return runCli(words);
     }
 
-    process_result setAndWait(const std::vector<std::string> &instances) const
+    process_result setAndWait(const std::vector<std::string> &instances,
+                              const std::string &moreStatus = "") const
     {
-        const std::string status = statusBody(true, fmt::format("{}", fmt::join(instances, ",")));
+        const std::string status = "{" + moreStatus
+            + statusBody(true, fmt::format("{}", fmt::join(instances, ","))).substr(1);
         const http_responder control("127.0.0.1:0", [&](const auto &request, const auto &) {
             return request.getMethod() == "GET"
                 ? jsonAnswer(200, status)
