--- a/src/cli/signals.cc
+++ b/src/cli/signals.cc
@@ -39,4 +39,12 @@
     ::kill(::getpid(), SIGTERM);
 }
 
+bool waitForStopSignal(std::chrono::milliseconds limit)
+{
+    const sigset_t set = stopSignals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+    const timespec time{seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
+    return sigtimedwait(&set, nullptr, &time) > 0;
+}
+
 } // namespace buckthorngrade
