Let the leader decide when a change is in force

The command line decided it from the instances' revisions and so trusted the incomplete table of a new leader.

--- a/src/cli/wait_in_force.cc
+++ b/src/cli/wait_in_force.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <set>
 #include <thread>
 
 namespace buckthorngrade {
@@ -22,18 +23,19 @@
     std::size_t known = 0;
     std::vector<std::string> missing;
     bool hasLeader = false;
-    bool isComplete = true; // false: a new leader has not heard from every instance yet
+    bool isInForce = false;
 
-    bool isDone() const { return hasLeader && isComplete && known > 0 && missing.empty(); }
+    bool isDone() const { return hasLeader && isInForce && known > 0; }
     std::string text() const
     {
         if (!hasLeader)
             return "no connected leader answers";
         if (known == 0)
             return "no entry instance has reported to the leader";
-        return fmt::format("in force on {} of {} entry instances{}{}{}", known - missing.size(),
-                           known, missing.empty() ? "" : "; missing: ", fmt::join(missing, ", "),
-                           isComplete ? "" : "; the new leader is still collecting reports");
+        if (missing.empty() && !isInForce)
+            return "the leader has not confirmed it yet";
+        return fmt::format("in force on {} of {} entry instances{}{}", known - missing.size(),
+                           known, missing.empty() ? "" : "; missing: ", fmt::join(missing, ", "));
     }
 };
 
@@ -42,17 +44,25 @@
 {
     progress result;
     const auto status = readControlView(addresses, timeout).leader();
-    const auto instances = status ? status->getArray("instances") : nullptr;
-    result.hasLeader = !status.isNull();
-    result.isComplete = !status || status->optValue("instances_complete", true);
+    if (!status)
+        return result;
+    result.hasLeader = true;
+    result.isInForce = status->optValue<std::uint64_t>("in_force_revision", 0) >= revision;
+    std::set<std::string> behind;
+    const auto names = status->getArray("behind");
+    for (std::size_t i = 0; names && i < names->size(); ++i)
+        behind.insert(names->getElement<std::string>(static_cast<unsigned>(i)));
+    const auto instances = status->getArray("instances");
     for (std::size_t i = 0; instances && i < instances->size(); ++i) {
         const auto instance = instances->getObject(static_cast<unsigned>(i));
         const std::string state = instance ? fieldText(*instance, "state") : "removed";
         if (state == "removed" || state == "dead")
             continue;
         ++result.known;
-        if (instance->optValue<std::uint64_t>("revision", 0) < revision)
-            result.missing.push_back(fieldText(*instance, "name") + " (" + state + ")");
+        // `behind` refers to the newest revision, which can be above the one waited for.
+        const std::string name = fieldText(*instance, "name");
+        if (behind.contains(name) && instance->optValue<std::uint64_t>("revision", 0) < revision)
+            result.missing.push_back(fmt::format("{} ({})", name, state));
     }
     return result;
 }
--- a/src/cli/wait_in_force.h
+++ b/src/cli/wait_in_force.h
@@ -7,10 +7,10 @@
 
 namespace buckthorngrade {
 
-// Waits until every entry instance that is not removed or dead has applied `revision`, and shows
+// Waits until the leader says that `revision` is in force: every entry instance that is not removed
+// or dead has confirmed it, or has been left out of lookups for longer than they are cached. Shows
 // the progress on standard error. Throws unreachable_error at the timeout, naming the instances
-// that are missing. A new leader learns of the entry instances from their reports, so nothing is
-// proved while it knows none, or while its status says "instances_complete": false.
+// that are missing. Nothing is proved while the leader knows no entry instance.
 void waitInForce(std::uint64_t revision, const std::vector<std::string> &addresses,
                  std::chrono::milliseconds timeout);
 
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -436,16 +436,8 @@
     const auto isInForce = [&] {
         const auto status = leaderStatus();
         const auto instances = status ? status->getArray("instances") : nullptr;
-        if (!instances || instances->empty())
-            return false;
-        for (std::size_t i = 0; i < instances->size(); ++i) {
-            const auto instance = instances->getObject(static_cast<unsigned>(i));
-            const auto state = instance->getValue<std::string>("state");
-            if (state != "dead" && state != "removed"
-                && instance->getValue<std::uint64_t>("revision") < revision)
-                return false;
-        }
-        return true;
+        return instances && !instances->empty()
+            && status->optValue<std::uint64_t>("in_force_revision", 0) >= revision;
     };
     waitUntil(fmt::format("revision {} is in force", revision), isInForce);
 }
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -102,7 +102,7 @@
     void waitForLeader() const;
     // Until the entry instance is ready and answers lookups.
     void waitReady(const std::string &name) const;
-    // Until every entry instance that is not dead or removed reports `revision` to the leader.
+    // Until the leader says that `revision` is in force on all entry instances.
     void waitInForce(std::uint64_t revision) const;
 
     // One object for each request that an upstream ran; see testing/stand_in.h. Empty name: all.
