Take slots from allocations only

The control group now allocates slots, so the even division among the instances of the directory, which let two instances with different directories exceed an upstream's slots, is gone. An instance is not ready until it has slots.

--- a/src/entry/entry_instance.cc
+++ b/src/entry/entry_instance.cc
@@ -52,7 +52,7 @@
     , m_metrics(metrics)
     , m_incarnation(makeIncarnation(clock))
     , m_locator(config.deployment)
-    , m_ledger(config.deployment, config.instance)
+    , m_ledger(config.deployment)
     , m_links(config, clock)
     , m_decisions(config.instance, clock)
     , m_balancers(makeBalancers(config, m_store, m_ledger, m_links, clock))
--- a/src/entry/entry_status.cc
+++ b/src/entry/entry_status.cc
@@ -36,6 +36,8 @@
         return "no configuration has arrived";
     if (!m_from.fresh.isReady())
         return "the configuration is not confirmed as current";
+    if (!m_from.ledger.isAllocated())
+        return "no slots have been allocated to this instance";
     return {};
 }
 
@@ -58,7 +60,6 @@
     object.set("leaving", m_from.reports.isLeaving());
     object.set("leader", m_from.leader.leader());
     object.set("in_flight", m_from.ledger.totalInFlight());
-    object.set("slots_from_allocations", !m_from.ledger.isFallback());
     object.set("claim_outcomes_pending", static_cast<std::uint64_t>(m_from.claims.pending()));
 
     const auto view = m_from.directory.current();
--- a/src/entry/report_client.cc
+++ b/src/entry/report_client.cc
@@ -86,7 +86,7 @@
     request.set_instance(m_settings.instance);
     request.set_incarnation(m_incarnation);
     request.set_revision(m_store.current()->revision);
-    request.set_ready(m_fresh.isReady());
+    request.set_ready(m_fresh.isReady() && m_targets.ledger.isAllocated());
     request.set_leaving(m_leaving);
     request.set_http_address(m_settings.entry.publicAddress);
     request.set_region(m_settings.region());
@@ -155,9 +155,10 @@
     for (const auto &item : reply.allocations())
         grants.push_back(
             {item.service(), item.upstream(), {item.slots(), item.reserved(), item.epoch()}});
-    if (!grants.empty() && m_targets.ledger.isFallback())
-        m_events.write(event_id::allocation_started, {{"term", reply.term()}});
+    const bool hadSlots = m_targets.ledger.isAllocated();
     m_targets.ledger.applyGrants(reply.term(), grants, reportSentAt);
+    if (!hadSlots && m_targets.ledger.isAllocated())
+        m_events.write(event_id::allocation_started, {{"term", reply.term()}});
     for (const auto &balancer : m_targets.balancers) {
         std::optional<slot_grant> share;
         for (const auto &limit : reply.foreign_limits())
@@ -172,18 +173,17 @@
 {
     std::vector<instance_status> instances;
     std::ranges::transform(reply.instances(), std::back_inserter(instances), statusFromWire);
-    std::vector<std::string> names;
+    std::size_t members = 0;
     std::size_t inRegion = 0;
     for (const instance_status &status : instances) {
         if (status.state == instance_state::removed || status.state == instance_state::dead)
             continue;
-        names.push_back(status.name);
+        ++members;
         if (status.region == m_settings.region())
             ++inRegion;
     }
     m_targets.links.setInstances(inRegion);
-    m_targets.pool.setInstances(names.size());
-    m_targets.ledger.setInstances(std::move(names));
+    m_targets.pool.setInstances(members);
     m_targets.directory.update(std::move(instances), reportSentAt);
 }
 
--- a/src/entry/service_balancer.cc
+++ b/src/entry/service_balancer.cc
@@ -187,7 +187,7 @@
 bool service_balancer::tryEnterForeign()
 {
     const std::lock_guard lock(m_mutex);
-    if (m_hasForeignLimit && !m_foreign.mayStart(m_foreignInFlight, m_clock.now())) {
+    if (!m_foreign.mayStart(m_foreignInFlight, m_clock.now())) {
         ++m_foreignRefused;
         return false;
     }
@@ -211,10 +211,8 @@
         return;
     const steady_time now = m_clock.now();
     const std::uint32_t before = m_foreign.allowed(now);
-    if (m_foreign.apply(*share, reportSentAt) && m_hasForeignLimit
-        && m_foreign.allowed(now) > before)
+    if (m_foreign.apply(*share, reportSentAt) && m_foreign.allowed(now) > before)
         m_foreignGrewAt = now;
-    m_hasForeignLimit = true;
 }
 
 void service_balancer::renewByProof(steady_time probeSentAt, steady_time now)
--- a/src/entry/service_balancer.h
+++ b/src/entry/service_balancer.h
@@ -55,8 +55,7 @@
     bool tryEnterForeign();
     void leaveForeign();
     // Applies a reply of the leader to the report made at `reportSentAt`: its term, and the share
-    // if there is one. The share is leased as slots are. Until the first one arrives, foreign work
-    // is not limited.
+    // if there is one. The share is leased as slots are, and is none until the first one arrives.
     void applyForeignLimit(std::uint64_t term, const std::optional<slot_grant> &share,
                            steady_time reportSentAt);
     void renewByProof(steady_time probeSentAt, steady_time now);
@@ -146,7 +145,6 @@
     std::uint32_t m_refused = 0;
     std::uint32_t m_arrivals = 0;
     steady_time m_demandSince;
-    bool m_hasForeignLimit = false;
     slot_lease m_foreign;
     steady_time m_foreignGrewAt = steady_time::min();
     std::uint32_t m_foreignInFlight = 0;
--- a/src/entry/slot_ledger.cc
+++ b/src/entry/slot_ledger.cc
@@ -4,9 +4,7 @@
 
 namespace buckthorngrade {
 
-slot_ledger::slot_ledger(const topology &deployment, std::string instance)
-    : m_deployment(deployment)
-    , m_instance(std::move(instance))
+slot_ledger::slot_ledger(const topology &deployment)
 {
     for (std::size_t s = 0; s < deployment.services.size(); ++s) {
         const service_spec &service = deployment.services[s];
@@ -14,11 +12,7 @@
         for (std::size_t u = 0; u < service.upstreams.size(); ++u)
             m_index[{service.name, service.upstreams[u].name}] = {s, u};
     }
-}
-
-std::uint32_t slot_ledger::allowedOf(const row &item, steady_time now) const
-{
-    return m_isAllocated ? item.lease.allowed(now) : item.fallbackSlots;
+    m_isAllocated = m_index.empty();
 }
 
 std::vector<slot_ledger::row_report> slot_ledger::report(steady_time now) const
@@ -28,7 +22,7 @@
     for (const auto &[names, place] : m_index) {
         const row &item = m_rows[place.first][place.second];
         result.push_back(
-            {names.first, names.second, allowedOf(item, now), item.inFlight, item.lease.epoch()});
+            {names.first, names.second, item.lease.allowed(now), item.inFlight, item.lease.epoch()});
     }
     return result;
 }
@@ -37,12 +31,12 @@
                               steady_time reportSentAt)
 {
     const std::lock_guard lock(m_mutex);
-    m_isAllocated = m_isAllocated || !grants.empty();
     for (auto &service : m_rows)
         for (row &item : service)
             item.lease.observeTerm(term);
     for (const row_grant &granted : grants) {
         const auto found = m_index.find({granted.service, granted.upstream});
+        m_isAllocated = m_isAllocated || granted.grant.slots > 0;
         if (found != m_index.end())
             m_rows[found->second.first][found->second.second].lease.apply(granted.grant,
                                                                           reportSentAt);
@@ -57,30 +51,12 @@
             item.lease.renewByProof(probeSentAt, now);
 }
 
-void slot_ledger::setInstances(std::vector<std::string> names)
-{
-    std::ranges::sort(names);
-    const auto found = std::ranges::find(names, m_instance);
-    const std::lock_guard lock(m_mutex);
-    for (std::size_t s = 0; s < m_rows.size(); ++s) {
-        std::size_t seat = 0;
-        for (std::size_t u = 0; u < m_rows[s].size(); ++u) {
-            row &item = m_rows[s][u];
-            item.fallbackSlots = 0;
-            const std::uint32_t slots = m_deployment.services[s].upstreams[u].slots;
-            for (std::uint32_t i = 0; found != names.end() && i < slots; ++i, ++seat)
-                if (seat % names.size() == static_cast<std::size_t>(found - names.begin()))
-                    ++item.fallbackSlots;
-        }
-    }
-}
-
 std::vector<slot_ledger::usage> slot_ledger::read(std::size_t service, steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
     std::vector<usage> result;
     for (const row &item : m_rows[service])
-        result.push_back({allowedOf(item, now), item.inFlight});
+        result.push_back({item.lease.allowed(now), item.inFlight});
     return result;
 }
 
@@ -88,7 +64,7 @@
 {
     const std::lock_guard lock(m_mutex);
     row &item = m_rows[service][upstream];
-    if (item.inFlight >= allowedOf(item, now))
+    if (item.inFlight >= item.lease.allowed(now))
         return false;
     ++item.inFlight;
     return true;
@@ -118,15 +94,15 @@
     for (const auto &service : m_rows)
         for (const row &item : service) {
             used += item.inFlight;
-            allowed += allowedOf(item, now);
+            allowed += item.lease.allowed(now);
         }
     return allowed > 0 ? std::min(used / allowed, 1.0) : 0.0;
 }
 
-bool slot_ledger::isFallback() const
+bool slot_ledger::isAllocated() const
 {
     const std::lock_guard lock(m_mutex);
-    return !m_isAllocated;
+    return m_isAllocated;
 }
 
 } // namespace buckthorngrade
--- a/src/entry/slot_ledger.h
+++ b/src/entry/slot_ledger.h
@@ -14,16 +14,12 @@
 
 namespace buckthorngrade {
 
-// The slots that this instance holds and uses at each upstream. Thread-safe.
-//
-// Slots come from the leader's allocations only. A control group that never sent an allocation is
-// one without an allocator; for such a group the instances in the directory share each service's
-// slots evenly, numbered through all its upstreams, until the first allocation arrives. This
-// fallback is safe only while all instances have the same directory.
+// The slots that this instance holds and uses at each upstream. They come from the leader's
+// allocations only; until the first one arrives there are none. Thread-safe.
 class slot_ledger
 {
 public:
-    slot_ledger(const topology &deployment, std::string instance);
+    explicit slot_ledger(const topology &deployment);
 
     struct row_report
     {
@@ -46,8 +42,6 @@
     void applyGrants(std::uint64_t term, const std::vector<row_grant> &grants,
                      steady_time reportSentAt);
     void renewByProof(steady_time probeSentAt, steady_time now);
-    // Names of the entry instances in the directory, for the fallback.
-    void setInstances(std::vector<std::string> names);
 
     struct usage
     {
@@ -63,19 +57,16 @@
     std::uint32_t totalInFlight() const;
     // Share of all slots held that is in use, 0 to 1.
     double load(steady_time now) const;
-    bool isFallback() const;
+    // An allocation with at least one slot has arrived, or there are no upstreams.
+    bool isAllocated() const;
 
 private:
     struct row
     {
         slot_lease lease;
         std::uint32_t inFlight = 0;
-        std::uint32_t fallbackSlots = 0;
     };
-    std::uint32_t allowedOf(const row &item, steady_time now) const;
 
-    const topology &m_deployment;
-    const std::string m_instance;
     mutable std::mutex m_mutex;
     bool m_isAllocated = false;
     std::vector<std::vector<row>> m_rows; // by service and upstream
