--- a/src/entry/request_carrier.cc
+++ b/src/entry/request_carrier.cc
@@ -517,9 +517,8 @@
     fields.emplace_back("Buckthorn-Outcome", "ran");
     // A HEAD request is told the length of the body that is not sent.
     std::optional<std::uint64_t> length;
-    if (response.framing == body_framing::length)
-        length = response.contentLength;
-    else if (response.framing == body_framing::none && response.find("Content-Length"))
+    if (response.framing == body_framing::length
+        || (response.framing == body_framing::none && response.find("Content-Length")))
         length = response.contentLength;
     const bool canCancel = item.kind == request_kind::idempotent;
     bool hasCaller = true;
--- a/tests/integration/entry_lifecycle_test.cc
+++ b/tests/integration/entry_lifecycle_test.cc
@@ -63,8 +63,7 @@
     {
         constexpr std::size_t total = 300UL << 20U;
         constexpr std::uint64_t maxMemory = 150UL << 20U;
-        deployment system(
-            {.controls = 1, .entries = 2, .requestDeadline = 120s, .drainLimit = 120s});
+        deployment system({.controls = 1, .entries = 2, .requestDeadline = 30s, .drainLimit = 60s});
         system.startAll();
         Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(system.address("entry-1"))};
         socket.setReceiveTimeout(Poco::Timespan(120, 0));
@@ -99,6 +98,7 @@
         system.startAll();
         std::vector<http_response> responses(callers);
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int i = 0; i < callers; ++i)
             threads.emplace_back([&, i] {
                 responses[static_cast<std::size_t>(i)]
@@ -128,7 +128,7 @@
     void secondSignalEndsAtOnce()
     {
         deployment system(
-            {.controls = 1, .entries = 1, .requestDeadline = 600s, .drainLimit = 600s});
+            {.controls = 1, .entries = 1, .requestDeadline = 30s, .drainLimit = 600s});
         system.startAll();
         for (const std::string &upstream : system.upstreamNames())
             system.upstreamControl(upstream, "/_fault", R"({"kind":"hang"})");
--- a/tests/integration/entry_request_test.cc
+++ b/tests/integration/entry_request_test.cc
@@ -132,7 +132,7 @@
               };
         for (const std::string &fault : faults) {
             for (const std::string kind : kinds) {
-                const std::string mark = fault + "-" + kind;
+                const std::string mark = fmt::format("{}-{}", fault, kind);
                 // All upstreams, once each, so that a retry meets the fault as well.
                 for (const std::string &upstream : system.upstreamNames())
                     if (upstream.starts_with("claim"))
@@ -152,7 +152,7 @@
                     // The same key through another instance never runs it a second time.
                     const http_response again = send("entry-2", kind, mark);
                     const auto outcome = again.header("buckthorn-outcome");
-                    CPPUNIT_ASSERT_MESSAGE(mark + " again: " + outcome,
+                    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} again: {}", mark, outcome),
                                            outcome == "recorded" || outcome == "unknown"
                                                || outcome == "in-progress" || outcome == "ran");
                 }
@@ -264,6 +264,7 @@
         });
         std::vector<std::vector<sent_request>> sent(callers);
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int caller = 0; caller < callers; ++caller)
             threads.emplace_back([&, caller] {
                 for (int i = 0; i < requestsEach; ++i) {
