Split lookups into a plan per region and a choice per caller

With 610 instances a lookup cost 74 us, nearly all of it for weights that are the same for every caller of a region.

--- a/bench/bench_lookup_table.cc
+++ b/bench/bench_lookup_table.cc
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <ctime>
+#include <map>
 #include <random>
 #include <set>
 #include <vector>
@@ -121,7 +122,8 @@
                        table.intervalBytes() / 1024, built.count(), fast, slow);
         }
     }
-    fmt::print("instances decisions/s (table, placement and weights; 330000 blocks, 610 sites)\n");
+    fmt::print(
+        "instances decisions/s decisions_with_plan/s (with table; 330000 blocks, 610 sites)\n");
     topology deployment;
     for (int i = 0; i < regions; ++i) {
         deployment.regions.push_back({fmt::format("r{}", i), {}});
@@ -145,7 +147,23 @@
                 request.region = target->region;
             checksum += decideLookup(request, instances, delays, {}).count;
         });
-        fmt::print("{} {:.0f}\n", count, rate);
+        // As an entry instance does it, with a plan for each region that is made once a second.
+        std::map<std::string, lookup_plan, std::less<>> plans;
+        for (int i = 0; i < regions; ++i) {
+            lookup_request request;
+            const std::string region = fmt::format("r{}", i);
+            request.region = region;
+            plans[region] = planLookup(request, instances, delays, {});
+        }
+        const double plannedRate = measure([&](std::size_t i) {
+            const client_address &address = addresses[i % addressCount];
+            lookup_request request;
+            request.service = "service";
+            request.placementKey = placementKey(address);
+            const block_target *target = table.find(address);
+            checksum += decideLookup(request, plans[target->region]).count;
+        });
+        fmt::print("{} {:.0f} {:.0f}\n", count, rate, plannedRate);
     }
     fmt::print("checksum {}\n", checksum);
     return 0;
--- a/src/steering/lookup_policy.cc
+++ b/src/steering/lookup_policy.cc
@@ -54,30 +54,23 @@
     return std::max(1 - (usable ? load : assumedLoad), minHeadroom);
 }
 
-struct ranked
-{
-    std::size_t candidate = 0;
-    microseconds delay{0};
-    double headroom = 0;
-    double weight = 0;
-    double score = 0;
-};
+using option = lookup_plan::option;
 
-void assignWeights(std::vector<ranked> &items, const profile &rules)
+void assignWeights(std::vector<option> &items, const profile &rules)
 {
     const double latencyShare
         = rules.latencyWeight / std::max(rules.latencyWeight + rules.headroomWeight, 1e-9);
     const double spillStart = spillStartBase + spillStartRange * latencyShare;
-    std::ranges::sort(items, [](const ranked &a, const ranked &b) {
+    std::ranges::sort(items, [](const option &a, const option &b) {
         return std::tie(a.delay, a.candidate) < std::tie(b.delay, b.candidate);
     });
     double totalHeadroom = 0;
-    for (const ranked &item : items)
+    for (const option &item : items)
         totalHeadroom += item.headroom;
     double remaining = 1;
     for (auto begin = items.begin(); begin != items.end();) {
         const auto end = std::find_if(
-            begin, items.end(), [&](const ranked &item) { return item.delay != begin->delay; });
+            begin, items.end(), [&](const option &item) { return item.delay != begin->delay; });
         double headroom = 0;
         for (auto item = begin; item != end; ++item)
             headroom += item->headroom;
@@ -89,44 +82,49 @@
         begin = end;
     }
     // What no tier keeps is divided by headroom, so that a full system is loaded evenly.
-    for (ranked &item : items)
+    for (option &item : items)
         item.weight += remaining * item.headroom / totalHeadroom;
 }
 
-double rendezvousScore(std::uint64_t seed, const std::string &name, double weight)
+double rendezvousScore(std::uint64_t seed, const option &item)
 {
-    const std::uint64_t hash = XXH64(name.data(), name.size(), seed);
+    const std::uint64_t hash = XXH64(item.name.data(), item.name.size(), seed);
     const double uniform = (static_cast<double>(hash >> 11U) + 0.5) * 0x1p-53;
-    return weight > 0 ? -std::log(uniform) / weight : std::numeric_limits<double>::infinity();
+    return -std::log(uniform) / item.weight;
 }
 
-void fillRecord(decision_record &record, const lookup_request &request,
-                std::span<const lookup_candidate> candidates, const lookup_decision &decision,
-                const profile &rules)
+// The options that the caller would use in this order: lowest score first, then those without a
+// weight, nearest first. Keeps the best few.
+class ranking
 {
-    record.kind = decision_kind::lookup;
-    record.revision = request.revision;
-    record.profileVersion = rules.version;
-    record.setRule(decision.rule);
-    record.addInput("service", request.service);
-    record.addInput("region", request.region);
-    record.addInput("placement_key", fmt::format("{:x}", request.placementKey));
-    std::string outcome;
-    for (const lookup_choice &choice : decision.chosen()) {
-        const lookup_candidate &candidate = candidates[choice.candidate];
-        outcome += fmt::format("{}{}:{}", outcome.empty() ? "" : " ", candidate.status.name,
-                               choice.weight);
-        record.addInput("load " + candidate.status.name,
-                        fmt::format("{:.3f}", candidate.status.load), candidate.reportAge);
-    }
-    record.setOutcome(outcome);
-    for (const lookup_candidate &candidate : candidates) {
-        if (const std::string_view reason = exclusionReason(candidate); !reason.empty())
-            record.addRuledOut(candidate.status.name, reason);
-        else if (candidate.confidence != decision.confidence)
-            record.addRuledOut(candidate.status.name, toString(candidate.confidence));
+public:
+    static constexpr std::size_t capacity = lookup_decision::maxChoices;
+
+    void add(const option &item, double score)
+    {
+        std::size_t at = m_size;
+        while (at > 0 && score < m_entries[at - 1].score)
+            --at;
+        if (at == capacity)
+            return;
+        m_size = std::min(m_size + 1, capacity);
+        for (std::size_t i = m_size - 1; i > at; --i)
+            m_entries[i] = m_entries[i - 1];
+        m_entries[at] = {&item, score};
     }
-}
+    std::size_t size() const { return m_size; }
+    const option &operator[](std::size_t index) const { return *m_entries[index].item; }
+    void replaceLast(const option &item) { m_entries[m_size - 1].item = &item; }
+
+private:
+    struct entry
+    {
+        const option *item = nullptr;
+        double score = 0;
+    };
+    std::array<entry, capacity> m_entries;
+    std::size_t m_size = 0;
+};
 
 } // namespace
 
@@ -170,30 +168,25 @@
     return m_delays[row * m_names.size() + static_cast<std::size_t>(columnFound - m_names.begin())];
 }
 
-lookup_decision decideLookup(const lookup_request &request,
-                             std::span<const lookup_candidate> candidates,
-                             const delay_table &delays, const profile &rules,
-                             decision_record *record)
+lookup_plan planLookup(const lookup_request &request, std::span<const lookup_candidate> candidates,
+                       const delay_table &delays, const profile &rules)
 {
-    lookup_decision decision;
-    decision.rule = "no-instance";
-    decision.lifetime = std::min(rules.lookupLifetime, maxLookupLifetime);
+    lookup_plan plan;
+    plan.lifetime = std::min(rules.lookupLifetime, maxLookupLifetime);
     if (request.shiftUnderWay)
-        decision.lifetime = std::min(decision.lifetime, shiftLookupLifetime);
-
+        plan.lifetime = std::min(plan.lifetime, shiftLookupLifetime);
     bool found = false;
     for (const lookup_candidate &candidate : candidates) {
         if (!exclusionReason(candidate).empty())
             continue;
-        if (!found || candidate.confidence < decision.confidence)
-            decision.confidence = candidate.confidence;
+        if (!found || candidate.confidence < plan.confidence)
+            plan.confidence = candidate.confidence;
         found = true;
     }
-    std::vector<ranked> items;
-    items.reserve(candidates.size());
+    plan.options.reserve(candidates.size());
     for (std::size_t i = 0; found && i < candidates.size(); ++i) {
         const lookup_candidate &candidate = candidates[i];
-        if (!exclusionReason(candidate).empty() || candidate.confidence != decision.confidence)
+        if (!exclusionReason(candidate).empty() || candidate.confidence != plan.confidence)
             continue;
         microseconds delay = request.region.empty()
             ? microseconds(0)
@@ -201,55 +194,101 @@
         if (delay == microseconds(0) && !request.failureDomain.empty()
             && candidate.status.failureDomain != request.failureDomain)
             delay = otherDomainDelay;
-        items.push_back({i, delay, headroomOf(candidate), 0, 0});
+        plan.options.push_back({i, candidate.status.name, candidate.status.failureDomain, delay,
+                                headroomOf(candidate), 0});
+    }
+    if (!plan.options.empty())
+        assignWeights(plan.options, rules);
+    return plan;
+}
+
+lookup_decision decideLookup(const lookup_request &request, const lookup_plan &plan)
+{
+    lookup_decision decision;
+    decision.rule = "no-instance";
+    decision.lifetime = plan.lifetime;
+    decision.confidence = plan.confidence;
+    const std::uint64_t seed
+        = XXH64(request.service.data(), request.service.size(), request.placementKey);
+    constexpr double noScore = std::numeric_limits<double>::infinity();
+    ranking best;
+    for (const option &item : plan.options) {
+        if (item.weight > 0)
+            best.add(item, rendezvousScore(seed, item));
+        else if (best.size() < ranking::capacity)
+            best.add(item, noScore);
     }
-    if (!items.empty()) {
-        assignWeights(items, rules);
-        const std::uint64_t seed
-            = XXH64(request.service.data(), request.service.size(), request.placementKey);
-        for (ranked &item : items)
-            item.score = rendezvousScore(seed, candidates[item.candidate].status.name, item.weight);
-        decision.count = std::min(items.size(), lookup_decision::maxChoices);
-        std::ranges::partial_sort(items,
-                                  items.begin() + static_cast<std::ptrdiff_t>(decision.count),
-                                  [](const ranked &a, const ranked &b) {
-                                      return std::tie(a.score, a.delay, a.candidate)
-                                          < std::tie(b.score, b.delay, b.candidate);
-                                  });
-        // The last choice comes from another failure domain if the first ones share one, so that
-        // the answer survives the loss of that domain.
-        const auto domainOf = [&](const ranked &item) -> const std::string & {
-            return candidates[item.candidate].status.failureDomain;
-        };
-        const auto last = items.begin() + static_cast<std::ptrdiff_t>(decision.count) - 1;
-        if (decision.count == lookup_decision::maxChoices
-            && std::all_of(items.begin(), last + 1, [&](const ranked &item) {
-                   return domainOf(item) == domainOf(items.front());
-               })) {
-            auto best = items.end();
-            for (auto item = last + 1; item != items.end(); ++item) {
-                if (domainOf(*item) != domainOf(items.front())
-                    && (best == items.end()
-                        || std::tie(item->score, item->delay) < std::tie(best->score, best->delay)))
-                    best = item;
+    if (best.size() == 0)
+        return decision;
+    // The last choice comes from another failure domain if all share one, so that the answer
+    // survives the loss of that domain.
+    const std::string &domain = best[0].failureDomain;
+    if (best.size() == ranking::capacity && best[1].failureDomain == domain
+        && best[2].failureDomain == domain) {
+        const option *other = nullptr;
+        double otherScore = noScore;
+        for (const option &item : plan.options) {
+            if (item.failureDomain == domain || (item.weight <= 0 && other != nullptr))
+                continue;
+            const double score = item.weight > 0 ? rendezvousScore(seed, item) : noScore;
+            if (other == nullptr || score < otherScore) {
+                other = &item;
+                otherScore = score;
             }
-            if (best != items.end())
-                std::iter_swap(last, best);
         }
-        double total = 0;
-        for (std::size_t i = 0; i < decision.count; ++i)
-            total += items[i].weight;
-        for (std::size_t i = 0; i < decision.count; ++i)
-            decision.choices[i]
-                = {items[i].candidate,
-                   static_cast<std::uint32_t>(std::lround(100 * items[i].weight / total))};
-        const bool allNear
-            = items.front().delay == std::ranges::min(items, {}, &ranked::delay).delay;
-        decision.rule = allNear ? "nearest" : "spill";
+        if (other != nullptr)
+            best.replaceLast(*other);
     }
+    decision.count = best.size();
+    double total = 0;
+    for (std::size_t i = 0; i < decision.count; ++i)
+        total += best[i].weight;
+    for (std::size_t i = 0; i < decision.count; ++i)
+        decision.choices[i]
+            = {best[i].candidate,
+               static_cast<std::uint32_t>(std::lround(100 * best[i].weight / total))};
+    decision.rule = best[0].delay == plan.options.front().delay ? "nearest" : "spill";
+    return decision;
+}
+
+lookup_decision decideLookup(const lookup_request &request,
+                             std::span<const lookup_candidate> candidates,
+                             const delay_table &delays, const profile &rules,
+                             decision_record *record)
+{
+    const lookup_decision decision
+        = decideLookup(request, planLookup(request, candidates, delays, rules));
     if (record != nullptr)
-        fillRecord(*record, request, candidates, decision, rules);
+        explainLookup(*record, request, candidates, decision, rules);
     return decision;
 }
 
+void explainLookup(decision_record &record, const lookup_request &request,
+                   std::span<const lookup_candidate> candidates, const lookup_decision &decision,
+                   const profile &rules)
+{
+    record.kind = decision_kind::lookup;
+    record.revision = request.revision;
+    record.profileVersion = rules.version;
+    record.setRule(decision.rule);
+    record.addInput("service", request.service);
+    record.addInput("region", request.region);
+    record.addInput("placement_key", fmt::format("{:x}", request.placementKey));
+    std::string outcome;
+    for (const lookup_choice &choice : decision.chosen()) {
+        const lookup_candidate &candidate = candidates[choice.candidate];
+        outcome += fmt::format("{}{}:{}", outcome.empty() ? "" : " ", candidate.status.name,
+                               choice.weight);
+        record.addInput("load " + candidate.status.name,
+                        fmt::format("{:.3f}", candidate.status.load), candidate.reportAge);
+    }
+    record.setOutcome(outcome);
+    for (const lookup_candidate &candidate : candidates) {
+        if (const std::string_view reason = exclusionReason(candidate); !reason.empty())
+            record.addRuledOut(candidate.status.name, reason);
+        else if (candidate.confidence != decision.confidence)
+            record.addRuledOut(candidate.status.name, toString(candidate.confidence));
+    }
+}
+
 } // namespace buckthorngrade
--- a/src/steering/lookup_policy.h
+++ b/src/steering/lookup_policy.h
@@ -90,10 +90,41 @@
     std::vector<std::chrono::microseconds> m_delays; // row-major by m_names
 };
 
-// Pure. Work is linear in the candidates. If `record` is given it is filled.
+// The part of a lookup that is the same for all callers of one region: who may be named, with which
+// weight. Valid as long as the candidates, the profile and the shift do not change; an entry
+// instance keeps one for each (service, region, failure domain).
+struct lookup_plan
+{
+    struct option
+    {
+        std::size_t candidate = 0;
+        std::string name;
+        std::string failureDomain;
+        std::chrono::microseconds delay{0};
+        double headroom = 0;
+        double weight = 0;
+    };
+    std::vector<option> options; // nearest first
+    std::chrono::milliseconds lifetime{0};
+    freshness confidence = freshness::current;
+};
+
+// `request.placementKey` is not used. Work is n log n in the candidates.
+lookup_plan planLookup(const lookup_request &request, std::span<const lookup_candidate> candidates,
+                       const delay_table &delays, const profile &rules);
+
+// Chooses by rendezvous. Work is linear in the plan's options; only those with a weight are hashed.
+lookup_decision decideLookup(const lookup_request &request, const lookup_plan &plan);
+
+// Both steps at once. If `record` is given it is filled.
 lookup_decision decideLookup(const lookup_request &request,
                              std::span<const lookup_candidate> candidates,
                              const delay_table &delays, const profile &rules,
                              decision_record *record = nullptr);
 
+// Explains `decision`, which was made from a plan of the same candidates.
+void explainLookup(decision_record &record, const lookup_request &request,
+                   std::span<const lookup_candidate> candidates, const lookup_decision &decision,
+                   const profile &rules);
+
 } // namespace buckthorngrade
