--- a/tests/model/settings_test.cc
+++ b/tests/model/settings_test.cc
@@ -193,6 +193,8 @@
              "line 13: regions[1].failure_domains: must contain only names"},
             {"[south-a]", "[south-a, south-a]",
              "line 13: regions[1].failure_domains: names 'south-a' twice"},
+            {"[south-a]", "[south-a]\n    entry_instances: 0",
+             "line 14: regions[1].entry_instances: must be a whole number from 1 to 10000"},
             {"[south-a]", "[north-b]",
              "line 13: regions[1].failure_domains: failure domain 'north-b' is already used in "
              "line 11"},
