--- a/bench/bench_control.cc
+++ b/bench/bench_control.cc
@@ -108,6 +108,7 @@
     const auto begin = clock_type::now();
     const auto end = begin + std::chrono::seconds(FLAGS_seconds);
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(writers));
     for (int writer = 0; writer < writers; ++writer) {
         threads.emplace_back([&, writer] {
             http_connection connection{Poco::Net::StreamSocket(Poco::Net::SocketAddress(address))};
@@ -282,6 +283,7 @@
                                                          std::uint64_t known, arrivals &target)
 {
     std::vector<std::unique_ptr<light_subscriber>> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         result.push_back(std::make_unique<light_subscriber>(
             system.link("entry-1", control).address(), clusterOf(system),
@@ -296,13 +298,13 @@
     return *std::ranges::find_if(names, [&](const auto &name) { return name != leader; });
 }
 
-std::uint64_t g_version = 0;
+std::uint64_t forceVersion = 0;
 
 std::uint64_t changeOnce(deployment &system)
 {
     const std::uint64_t revision
-        = revisionIn(exchange(system.address(system.leader()), editOf("force", g_version)));
-    ++g_version;
+        = revisionIn(exchange(system.address(system.leader()), editOf("force", forceVersion)));
+    ++forceVersion;
     return revision;
 }
 
@@ -315,10 +317,10 @@
     const std::string address = system.address(system.leader());
     std::vector<double> times;
     for (int i = 0; i < FLAGS_changes; ++i) {
-        const http_request edit = editOf("force", g_version);
+        const http_request edit = editOf("force", forceVersion);
         const auto start = clock_type::now();
         const std::uint64_t revision = revisionIn(exchange(address, edit));
-        ++g_version;
+        ++forceVersion;
         const auto done = target.wait(revision, static_cast<std::size_t>(count));
         times.push_back(milliseconds_double(done - start).count());
         std::this_thread::sleep_for(50ms); // keeps the changes apart
@@ -388,6 +390,7 @@
     std::atomic<bool> stopping = false;
     constexpr int tickers = 4;
     std::vector<std::thread> threads;
+    threads.reserve(tickers);
     for (int ticker = 0; ticker < tickers; ++ticker) {
         threads.emplace_back([&, ticker] {
             while (!stopping) {
--- a/tests/control/feed_hub_test.cc
+++ b/tests/control/feed_hub_test.cc
@@ -141,8 +141,9 @@
             const auto pick = [&](std::uint64_t count) { return random() % count; };
             std::vector<std::unique_ptr<instance>> instances;
             std::vector<log_index> applied(3, 0);
-            for (int i = 0; i < 3; ++i)
-                instances.push_back(std::make_unique<instance>());
+            instances.resize(3);
+            for (auto &each : instances)
+                each = std::make_unique<instance>();
             std::vector<std::string> log;
             control_state reference;
             std::vector<subscriber> subscribers(6);
--- a/tests/integration/control_entries_test.cc
+++ b/tests/integration/control_entries_test.cc
@@ -54,7 +54,7 @@
         const object_ptr status = system.leaderStatus();
         const auto instances = status ? status->getArray("instances") : nullptr;
         for (std::size_t i = 0; instances && i < instances->size(); ++i) {
-            const auto instance = instances->getObject(static_cast<unsigned>(i));
+            auto instance = instances->getObject(static_cast<unsigned>(i));
             if (instance->getValue<std::string>("name") == name)
                 return instance;
         }
--- a/tests/integration/control_failure_test.cc
+++ b/tests/integration/control_failure_test.cc
@@ -77,7 +77,7 @@
         const http_response answer
             = m_system.admin(editOf(profile, base, text(profile, static_cast<int>(base % 5)), id));
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body + answer.failure, 200, answer.status);
-        const object_ptr outcome = parse(answer.body);
+        object_ptr outcome = parse(answer.body);
         accepted(profile, id, outcome);
         return outcome;
     }
@@ -116,8 +116,9 @@
                 continue;
             waitForRevision(name, m_revision);
             for (const auto &[profile, ids] : m_ids) {
-                const http_response answer = exchange(
-                    m_system.address(name), {.path = "/v1/profiles/" + profile + "/history"});
+                const http_response answer
+                    = exchange(m_system.address(name),
+                               {.path = fmt::format("/v1/profiles/{}/history", profile)});
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, 200, answer.status);
                 const auto versions = parse(answer.body)->getArray("versions");
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(name + " " + profile, ids.size(), versions->size());
@@ -424,9 +425,8 @@
                 answers.push_back(
                     std::async(std::launch::async, [&system, edit] { return system.admin(edit); }));
             }
-            std::vector<http_response> got;
-            for (auto &answer : answers)
-                got.push_back(answer.get());
+            std::vector<http_response> got(answers.size());
+            std::ranges::transform(answers, got.begin(), [](auto &answer) { return answer.get(); });
             const std::size_t winner = got[0].status == 200 ? 0 : 1;
             const http_response &lost = got[1 - winner];
             CPPUNIT_ASSERT_EQUAL_MESSAGE(got[winner].body, 200, got[winner].status);
@@ -561,7 +561,7 @@
         const auto members = status ? status->getArray("members") : nullptr;
         const std::string id = name.substr(name.find('-') + 1);
         for (std::size_t i = 0; members && i < members->size(); ++i) {
-            const auto member = members->getObject(static_cast<unsigned>(i));
+            auto member = members->getObject(static_cast<unsigned>(i));
             if (member->getValue<std::string>("id") == id)
                 return member;
         }
