--- a/src/cli/entry_finder.cc
+++ b/src/cli/entry_finder.cc
@@ -5,6 +5,7 @@
 #include "cli/cli_error.h"
 #include "cli/common_flags.h"
 #include "cli/output.h"
+#include "steering/decision_record.h"
 
 #include <Poco/JSON/Array.h>
 #include <fmt/format.h>
@@ -13,6 +14,9 @@
 
 std::string findEntry(const std::string &decisionId)
 {
+    const auto maker = parseDecisionId(decisionId);
+    if (!decisionId.empty() && !maker)
+        throw usage_error(fmt::format("'{}' is not a decision id, INSTANCE-NUMBER", decisionId));
     if (!FLAGS_entry.empty()) {
         if (!isSocketAddress(FLAGS_entry))
             throw usage_error("--entry must be IP:port");
@@ -25,29 +29,18 @@
             "unknown.\nWhat to do next: name an entry instance with "
             "--entry=IP:port.");
     const auto instances = status->getArray("instances");
-    std::string bestName;
-    std::string bestAddress;
     for (std::size_t i = 0; instances && i < instances->size(); ++i) {
         const auto instance = instances->getObject(static_cast<unsigned>(i));
-        if (!instance)
-            continue;
-        const std::string name = fieldText(*instance, "name");
-        // With "entry-1" and "entry-11", the longer name is the right one.
-        const bool matches = decisionId.empty()
-            ? bestName.empty() && fieldText(*instance, "state") == "live"
-            : decisionId.find(name) != std::string::npos && name.size() > bestName.size();
-        if (matches) {
-            bestName = name;
-            bestAddress = fieldText(*instance, "address");
-        }
+        if (instance
+            && (maker ? fieldText(*instance, "name") == maker->instance
+                      : fieldText(*instance, "state") == "live"))
+            return fieldText(*instance, "address");
     }
-    if (bestAddress.empty())
-        throw not_found_error(decisionId.empty()
-                                  ? "no entry instance is live"
-                                  : fmt::format("no known entry instance made decision '{}'; name "
-                                                "one with --entry=IP:port",
-                                                decisionId));
-    return bestAddress;
+    throw not_found_error(maker
+                              ? fmt::format("the control group knows no entry instance '{}'; name "
+                                            "one with --entry=IP:port",
+                                            maker->instance)
+                              : "no entry instance is live");
 }
 
 } // namespace buckthorngrade
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -212,8 +212,10 @@
         return live == m_entries.size();
     };
     waitUntil("all entry instances are live", allLive);
-    for (const std::string &name : m_entries)
+    for (const std::string &name : m_entries) {
         waitReady(name);
+        waitForSlots(name);
+    }
 }
 
 void deployment::start(const std::string &name)
@@ -431,6 +433,25 @@
     });
 }
 
+void deployment::waitForSlots(const std::string &name) const
+{
+    const auto hasSlots = [](const Poco::JSON::Object &service) {
+        const auto upstreams = service.getArray("upstreams");
+        for (std::size_t i = 0; upstreams && i < upstreams->size(); ++i)
+            if (upstreams->getObject(static_cast<unsigned>(i))->optValue("slots", 0) > 0)
+                return true;
+        return false;
+    };
+    waitUntil(name + " has slots of every service", [&] {
+        const auto status = parseObject(exchange(address(name), {.path = "/v1/status"}).body);
+        const auto services = status ? status->getArray("services") : nullptr;
+        for (std::size_t i = 0; services && i < services->size(); ++i)
+            if (!hasSlots(*services->getObject(static_cast<unsigned>(i))))
+                return false;
+        return services && !services->empty();
+    });
+}
+
 void deployment::waitInForce(std::uint64_t revision) const
 {
     const auto isInForce = [&] {
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -51,8 +51,8 @@
     deployment(const deployment &) = delete;
     deployment &operator=(const deployment &) = delete;
 
-    // Starts everything, creates both profiles and waits until every entry instance is ready and
-    // answers lookups.
+    // Starts everything, creates both profiles and waits until every entry instance is ready,
+    // answers lookups and has slots of both services. A new leader grants none for its first 11 s.
     void startAll();
     void start(const std::string &name);
     // SIGTERM, then waits for the end. Returns the exit code, or minus a signal.
@@ -102,6 +102,8 @@
     void waitForLeader() const;
     // Until the entry instance is ready and answers lookups.
     void waitReady(const std::string &name) const;
+    // Until the entry instance may use at least one slot of every service.
+    void waitForSlots(const std::string &name) const;
     // Until the leader says that `revision` is in force on all entry instances.
     void waitInForce(std::uint64_t revision) const;
 
--- a/tests/cli/admin_test.cc
+++ b/tests/cli/admin_test.cc
@@ -260,6 +260,7 @@
                              runCli({"status", "--control", dead.address()}).code);
     }
 
+    // Guards against asking "entry-1" for a decision of "entry-11".
     void explainAsksTheInstanceNamedInTheId()
     {
         const http_responder entry("127.0.0.1:0", [&](const auto &request, const auto &) {
@@ -281,7 +282,7 @@
             int(exit_not_found),
             runCli({"explain", "entry-11-6", "--control", control.address()}).code);
         CPPUNIT_ASSERT_EQUAL(int(exit_not_found),
-                             runCli({"explain", "x-1", "--control", control.address()}).code);
+                             runCli({"explain", "entry-2-1", "--control", control.address()}).code);
     }
 
     // Guards against escape sequences in a name or reason that reach the operator's terminal.
--- a/tests/cli/command_test.cc
+++ b/tests/cli/command_test.cc
@@ -51,6 +51,7 @@
                {"drain", "cancel", "d1", "--control=127.0.0.1:1", "--operator=a"},
                {"drain", "announce", "region", "r", "--start=tomorrow"},
                {"explain"},
+               {"explain", "no-number", "--entry=127.0.0.1:1"},
                {"check"}};
         for (const auto &line : lines) {
             const process_result result = runCli(line);
--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -110,6 +110,8 @@
         expect(4, "", edit({"drain", "cancel", "no-such-drain"}));
         expect(4, "", run({"profile", "get", "none"}));
         expect(0, "entries[0].address: ", run({"lookup", "lookup"}));
+        const http_response carried = system.request("entry-2", "lookup", {.path = "/a"});
+        expect(0, "rule: ", run({"explain", carried.header("buckthorn-decision")}));
     }
 
     // Guards against an edit that is lost, or reported as in force too early, because the leader
