--- a/src/cli/signals.cc
+++ b/src/cli/signals.cc
@@ -34,6 +34,11 @@
     return number;
 }
 
+void requestStop()
+{
+    ::kill(::getpid(), SIGTERM);
+}
+
 bool waitForStopSignal(std::chrono::milliseconds limit)
 {
     const sigset_t set = stopSignals();
@@ -42,9 +47,4 @@
     return sigtimedwait(&set, nullptr, &time) > 0;
 }
 
-void requestStop()
-{
-    ::kill(::getpid(), SIGTERM);
-}
-
 } // namespace buckthorngrade
--- a/src/cli/signals.h
+++ b/src/cli/signals.h
@@ -8,9 +8,9 @@
 void blockStopSignals();
 // Waits for SIGTERM or SIGINT and returns its number.
 int waitForStopSignal();
-// Waits at most `limit`; true if such a signal came.
-bool waitForStopSignal(std::chrono::milliseconds limit);
 // Makes waitForStopSignal() return, as if an operator had stopped the process. Thread-safe.
 void requestStop();
+// Waits at most `limit`; true if such a signal came.
+bool waitForStopSignal(std::chrono::milliseconds limit);
 
 } // namespace buckthorngrade
