Divide whole slots when fair shares are rounded

Cause: each instance's fair share was rounded down and nobody got the remainder. With 2 instances and a foreign limit of 3 both got 1, the load stayed 2, and the governor, which raises the limit only when load comes near it, never raised it: traffic of a lost region stayed at 2 of 18 slots in the others.

Change: what rounding leaves over goes, a slot each, to the first instances with a fraction, in a fixed order so that slots do not move without need.

--- a/src/steering/slot_allocator.cc
+++ b/src/steering/slot_allocator.cc
@@ -45,6 +45,42 @@
     return slots >= 2 ? std::max(rounded, 1U) : rounded;
 }
 
+// The level at which needs have to be cut so that they sum up to `available`, which is less.
+double maxMinLevel(std::vector<double> needs, double available)
+{
+    std::ranges::sort(needs);
+    double unshared = std::max(available, 0.0);
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const double level = unshared / static_cast<double>(needs.size() - i);
+        if (needs[i] >= level)
+            return level;
+        unshared -= needs[i];
+    }
+    return needs.empty() ? 0 : needs.back();
+}
+
+// Divides whole slots by `shares`: each gets its share rounded down, and what rounding leaves over
+// goes, one slot each, to the first ones with a fraction. With shares rounded down alone, 2
+// instances at a limit of 3 used 2 slots, and a limit that grows with use never grew.
+std::uint32_t wholeShare(const std::vector<double> &shares, std::size_t own)
+{
+    constexpr double tolerance = 1e-6; // of sums of fractions
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    double floors = 0;
+    std::size_t fractionsBefore = 0;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        const double floor = std::floor(shares[i] + tolerance);
+        floors += floor;
+        if (i < own && shares[i] - floor > tolerance)
+            ++fractionsBefore;
+    }
+    const double leftOver = std::floor(sum + tolerance) - floors;
+    const double floor = std::floor(shares[own] + tolerance);
+    const bool getsOne
+        = shares[own] - floor > tolerance && static_cast<double>(fractionsBefore) < leftOver;
+    return static_cast<std::uint32_t>(std::max(floor, 0.0)) + (getsOne ? 1 : 0);
+}
+
 } // namespace
 
 slot_allocator::slot_allocator(slot_allocator_settings settings, std::vector<slot_pool> pools,
@@ -532,10 +568,8 @@
     for (const index poolIndex : service.pools)
         available -= m_pools[poolIndex].activeSeats;
     std::vector<double> needs;
-    double total = 0;
-    double totalHeadroom = 0;
-    double ownNeed = 0;
-    double ownHeadroom = 0;
+    std::vector<double> headrooms;
+    std::size_t own = 0;
     for (const auto &[name, other] : m_rows) {
         std::uint32_t active = 0;
         for (const index poolIndex : service.pools)
@@ -547,33 +581,33 @@
         // Slots of a silent instance cannot be taken yet.
         const double need = std::max(
             isAnswering ? demand.estimate : static_cast<double>(demand.total), 1.0 * active);
-        const double headroom = isAnswering
-            ? std::max(std::ceil(demand.estimate * demandHeadroom) + 1 - need, 0.0)
-            : 0;
-        if (&other == &item) {
-            ownNeed = need;
-            ownHeadroom = headroom;
-        }
-        total += need;
-        totalHeadroom += headroom;
+        if (&other == &item)
+            own = needs.size();
         needs.push_back(need);
+        headrooms.push_back(
+            isAnswering ? std::max(std::ceil(demand.estimate * demandHeadroom) + 1 - need, 0.0)
+                        : 0);
     }
+    const double total = std::accumulate(needs.begin(), needs.end(), 0.0);
+    const double totalHeadroom = std::accumulate(headrooms.begin(), headrooms.end(), 0.0);
     const double left = available - total;
-    if (left >= totalHeadroom)
-        return {ownNeed + ownHeadroom
-                    + spareShare * (left - totalHeadroom) / static_cast<double>(needs.size()),
-                false};
-    if (left >= 0)
-        return {ownNeed + ownHeadroom * left / totalHeadroom, true};
-    std::ranges::sort(needs);
-    double unshared = available;
-    for (std::size_t i = 0; i < needs.size(); ++i) {
-        const double level = unshared / static_cast<double>(needs.size() - i);
-        if (needs[i] >= level)
-            return {std::min(ownNeed, level), true};
-        unshared -= needs[i];
+    std::vector<double> shares(needs.size());
+    if (left >= totalHeadroom) {
+        const double spare
+            = spareShare * (left - totalHeadroom) / static_cast<double>(needs.size());
+        std::ranges::transform(needs, headrooms, shares.begin(), [&](double need, double headroom) {
+            return need + headroom + spare;
+        });
+    } else if (left >= 0) {
+        std::ranges::transform(needs, headrooms, shares.begin(), [&](double need, double headroom) {
+            return need + headroom * left / totalHeadroom;
+        });
+    } else {
+        const double level = maxMinLevel(needs, available);
+        std::ranges::transform(needs, shares.begin(),
+                               [&](double need) { return std::min(need, level); });
     }
-    return {ownNeed, true};
+    return {wholeShare(shares, own), left < totalHeadroom};
 }
 
 // Takes leased slots away, farthest upstreams first.
@@ -668,13 +702,13 @@
     const fair_share fair = fairShare(item, serviceIndex);
     if (record != nullptr) {
         record->addInput("granted " + service.name, fmt::to_string(have));
-        record->addInput("fair_share " + service.name, fmt::format("{:.1f}", fair.slots));
+        record->addInput("fair_share " + service.name, fmt::to_string(fair.slots));
         record->addInput("demand " + service.name,
                          fmt::format("{:.1f}", item.demands[serviceIndex].estimate));
     }
     if (!isHandedOver)
         return "handover-wait";
-    const auto share = static_cast<std::uint32_t>(std::max(fair.slots, 0.0));
+    const std::uint32_t share = fair.slots;
     // While nobody lacks slots, one more than the share is not worth a revocation.
     const std::uint32_t tolerance = fair.isContended ? 0 : 1;
     std::string_view rule = "unchanged";
--- a/src/steering/slot_allocator.h
+++ b/src/steering/slot_allocator.h
@@ -253,7 +253,7 @@
     };
     struct fair_share
     {
-        double slots = 0;
+        std::uint32_t slots = 0;
         bool isContended = false; // not everybody gets what they want, headroom included
     };
     struct row
