--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -212,10 +212,8 @@
         return live == m_entries.size();
     };
     waitUntil("all entry instances are live", allLive);
-    for (const std::string &name : m_entries) {
+    for (const std::string &name : m_entries)
         waitReady(name);
-        waitForSlots(name);
-    }
 }
 
 void deployment::start(const std::string &name)
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -51,8 +51,8 @@
     deployment(const deployment &) = delete;
     deployment &operator=(const deployment &) = delete;
 
-    // Starts everything, creates both profiles and waits until every entry instance is ready,
-    // answers lookups and has slots of both services. A new leader grants none for its first 11 s.
+    // Starts everything, creates both profiles and waits until every entry instance is ready and
+    // answers lookups. It may not hold slots yet: a new leader grants none for its first 11 s.
     void startAll();
     void start(const std::string &name);
     // SIGTERM, then waits for the end. Returns the exit code, or minus a signal.
--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -28,6 +28,7 @@
         system.startAll();
         const http_response lookup = system.lookup("entry-1", "lookup");
         CPPUNIT_ASSERT_EQUAL_MESSAGE(lookup.body, 200, lookup.status);
+        system.waitForSlots("entry-2");
         const http_response response = system.request("entry-2", "claim",
                                                       {.method = "POST",
                                                        .path = "/claims/1",
@@ -60,6 +61,7 @@
             {.controls = 1, .entries = 1, .proxyControls = true, .proxyUpstreams = true});
         system.startAll();
         CPPUNIT_ASSERT(system.link("entry-1", "control-1").read().accepted > 0);
+        system.waitForSlots("entry-1");
         CPPUNIT_ASSERT_EQUAL(200, system.request("entry-1", "lookup", {.path = "/a"}).status);
         std::uint64_t carried = 0;
         for (const std::string &upstream : system.upstreamNames())
