--- a/tests/integration/control_failure_test.cc
+++ b/tests/integration/control_failure_test.cc
@@ -121,7 +121,8 @@
                                {.path = fmt::format("/v1/profiles/{}/history", profile)});
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, 200, answer.status);
                 const auto versions = parse(answer.body)->getArray("versions");
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(name + " " + profile, ids.size(), versions->size());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("{} {}", name, profile), ids.size(),
+                                             versions->size());
                 for (std::size_t i = 0; i < ids.size(); ++i) {
                     const auto version = versions->getObject(static_cast<unsigned>(i));
                     CPPUNIT_ASSERT_EQUAL(ids[i], version->getValue<std::string>("request_id"));
