Find the leader through any control instance that answers

The members in its answer are now asked too. Before: exit code 3 with a follower's address; after: 0, test statusFindsTheLeaderThroughAnother.

--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -154,6 +154,25 @@
     return nullptr;
 }
 
+// Addresses of control instances that the answers name and that were not asked.
+static std::vector<std::string> otherMembers(const control_view &view)
+{
+    std::set<std::string> asked;
+    for (const control_view::member &member : view.members)
+        asked.insert(member.address);
+    std::vector<std::string> others;
+    for (const control_view::member &member : view.members) {
+        const auto list = member.status ? member.status->getArray("members") : nullptr;
+        for (unsigned i = 0; list && i < list->size(); ++i) {
+            const auto item = list->getObject(i);
+            const std::string address = item ? item->optValue<std::string>("http", "") : "";
+            if (!address.empty() && asked.insert(address).second)
+                others.push_back(address);
+        }
+    }
+    return others;
+}
+
 control_view readControlView(const std::vector<std::string> &addresses,
                              std::chrono::milliseconds timeout)
 {
@@ -168,13 +187,19 @@
         }
         return member;
     };
-    std::vector<std::future<control_view::member>> pending;
-    pending.reserve(addresses.size());
-    for (const std::string &address : addresses)
-        pending.push_back(std::async(std::launch::async, ask, address));
     control_view view;
-    for (auto &each : pending)
-        view.members.push_back(each.get());
+    const auto askAll = [&](const std::vector<std::string> &asked) {
+        std::vector<std::future<control_view::member>> pending;
+        pending.reserve(asked.size());
+        for (const std::string &address : asked)
+            pending.push_back(std::async(std::launch::async, ask, address));
+        for (auto &each : pending)
+            view.members.push_back(each.get());
+    };
+    askAll(addresses);
+    // With one address given, the others are known from its answer.
+    if (!view.leader())
+        askAll(otherMembers(view));
     return view;
 }
 
--- a/tests/cli/admin_test.cc
+++ b/tests/cli/admin_test.cc
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(waitProvesNothingTooEarly);
     CPPUNIT_TEST(drainsAreAnnouncedListedAndCancelled);
     CPPUNIT_TEST(statusShowsWhoDoesNotAnswer);
+    CPPUNIT_TEST(statusFindsTheLeaderThroughAnother);
     CPPUNIT_TEST(explainAsksTheInstanceNamedInTheId);
     CPPUNIT_TEST(answersCantControlTheTerminal);
     CPPUNIT_TEST_SUITE_END();
@@ -260,6 +261,22 @@
                              runCli({"status", "--control", dead.address()}).code);
     }
 
+    // Guards against "no leader" when --control names one instance that does not lead.
+    void statusFindsTheLeaderThroughAnother()
+    {
+        const http_responder leader("127.0.0.1:0", [&](const auto &, const auto &) {
+            return jsonAnswer(200, statusBody(true, instanceJson("entry-1", "live", 9)));
+        });
+        const http_responder follower("127.0.0.1:0", [&](const auto &, const auto &) {
+            std::string body = statusBody(false, "");
+            body.insert(1, fmt::format(R"("members":[{{"id":1,"http":"{}"}}],)", leader.address()));
+            return jsonAnswer(200, body);
+        });
+        const process_result table = runCli({"status", "--control", follower.address()});
+        CPPUNIT_ASSERT_EQUAL(int(exit_ok), table.code);
+        assertContains(table.output, "entry-1");
+    }
+
     // Guards against asking "entry-1" for a decision of "entry-11".
     void explainAsksTheInstanceNamedInTheId()
     {
