--- a/src/base/http_listener.cc
+++ b/src/base/http_listener.cc
@@ -48,7 +48,6 @@
 public:
     connection(http_listener &owner, const Poco::Net::StreamSocket &socket)
         : m_owner(owner)
-        , m_socket(socket)
         , m_stream(socket)
         , m_client(socket.peerAddress().host().toString())
     { }
@@ -71,13 +70,7 @@
     }
     bool isDone() const { return m_isDone; }
     // Wakes the connection's thread by ending both directions.
-    void breakOff()
-    {
-        try {
-            m_socket.shutdown();
-        } catch (const Poco::Exception &) { // already closed
-        }
-    }
+    void breakOff() { m_stream.interrupt(); }
 
 private:
     // Waits for the first byte of a request. False if the connection is to be closed.
@@ -186,7 +179,6 @@
     }
 
     http_listener &m_owner;
-    Poco::Net::StreamSocket m_socket;
     socket_stream m_stream;
     const std::string m_client;
     bool m_isAborted = false;
--- a/src/base/socket_stream.cc
+++ b/src/base/socket_stream.cc
@@ -163,9 +163,9 @@
 {
     try {
         m_socket.setLinger(true, 0);
-        m_socket.close();
     } catch (const Poco::Exception &) { // already broken
     }
+    close();
 }
 
 void socket_stream::closeGently()
@@ -188,6 +188,24 @@
     } catch (const Poco::Exception &) { // the peer is gone
     } catch (const socket_error &) { // likewise
     }
+    close();
+}
+
+void socket_stream::interrupt()
+{
+    const std::lock_guard lock(*m_closeMutex);
+    if (m_isClosed)
+        return;
+    try {
+        m_socket.shutdown();
+    } catch (const Poco::Exception &) { // already broken
+    }
+}
+
+void socket_stream::close()
+{
+    const std::lock_guard lock(*m_closeMutex);
+    m_isClosed = true;
     try {
         m_socket.close();
     } catch (const Poco::Exception &) { // already broken
--- a/src/base/socket_stream.h
+++ b/src/base/socket_stream.h
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,7 +33,7 @@
 
 // Buffered, non-blocking TCP connection whose operations take a deadline. It counts the bytes that
 // the system accepted for sending, so that its user knows whether a request can have left. Used by
-// one thread.
+// one thread, except interrupt().
 class socket_stream
 {
 public:
@@ -69,11 +71,17 @@
     // Ends the sending side and discards input until the peer has closed too, at most until
     // `deadline`; then closes.
     void endAndAwaitPeer(steady_time deadline);
+    // Ends both directions, so that a thread that waits in another member goes on. Thread-safe.
+    void interrupt();
 
 private:
     bool sendSome(std::string_view &bytes);
+    void close();
 
     Poco::Net::StreamSocket m_socket;
+    // The descriptor's number may belong to another socket once it is closed.
+    std::unique_ptr<std::mutex> m_closeMutex = std::make_unique<std::mutex>();
+    bool m_isClosed = false;
     std::vector<char> m_buffer;
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
--- a/src/cli/run_entry.cc
+++ b/src/cli/run_entry.cc
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include <cstdlib>
+
 namespace buckthorngrade {
 
 int runEntry(const command_arguments &arguments)
@@ -27,7 +29,10 @@
     events.write(event_id::process_stopping, {{"signal", number}});
     const bool isComplete
         = instance.drain([] { return waitForStopSignal(std::chrono::seconds(1)); });
-    return isComplete ? 0 : 1;
+    // Requests that were cut off may wait for their upstreams up to their deadlines.
+    if (!isComplete)
+        std::_Exit(1);
+    return 0;
 }
 
 } // namespace buckthorngrade
--- a/src/cli/run_instance.cc
+++ b/src/cli/run_instance.cc
@@ -18,9 +18,9 @@
     const auto addresses = controlAddresses();
     std::string encoded;
     Poco::URI::encode(arguments[1], "/?#&+=", encoded);
-    const http_reply reply = admin_client(addresses, timeoutFlag())
-                                 .edit("POST", "/v1/instances/" + encoded + "/remove",
-                                       editHeadersFromFlags(), "");
+    const http_reply reply
+        = admin_client(addresses, timeoutFlag())
+              .edit("POST", "/v1/instances/" + encoded + "/remove", editHeadersFromFlags(), "");
     return finishEdit(reply, addresses);
 }
 
--- a/src/cli/run_member.cc
+++ b/src/cli/run_member.cc
@@ -43,9 +43,10 @@
         object.set("members", leader->get("members"));
         fmt::print("{}\n", formatJson(object));
     } else {
-        fmt::print("{}", formatTable(*leader, "members",
-                                     {"id", "role", "is_leader", "match", "recently_heard",
-                                      "incarnation", "http", "grpc"}));
+        fmt::print("{}",
+                   formatTable(*leader, "members",
+                               {"id", "role", "is_leader", "match", "recently_heard", "incarnation",
+                                "http", "grpc"}));
     }
     return exit_ok;
 }
--- a/src/control/admin_server.cc
+++ b/src/control/admin_server.cc
@@ -38,11 +38,25 @@
 constexpr std::chrono::seconds memberChangeLimit{5};
 // Headers of an edit that carry its content, and those that HTTP clients add by themselves.
 constexpr std::array<std::string_view, 3> editHeaders = {"request-id", "operator", "reason"};
-constexpr std::array<std::string_view, 19> clientHeaders
-    = {"host",       "user-agent",   "accept",         "accept-encoding",   "accept-language",
-       "connection", "keep-alive",   "content-length", "transfer-encoding", "content-type",
-       "date",       "expect",       "traceparent",    "tracestate",        "via",
-       "forwarded",  "cache-control", "pragma",        "te"};
+constexpr std::array<std::string_view, 19> clientHeaders = {"host",
+                                                            "user-agent",
+                                                            "accept",
+                                                            "accept-encoding",
+                                                            "accept-language",
+                                                            "connection",
+                                                            "keep-alive",
+                                                            "content-length",
+                                                            "transfer-encoding",
+                                                            "content-type",
+                                                            "date",
+                                                            "expect",
+                                                            "traceparent",
+                                                            "tracestate",
+                                                            "via",
+                                                            "forwarded",
+                                                            "cache-control",
+                                                            "pragma",
+                                                            "te"};
 constexpr const char *jsonType = "application/json";
 
 // The request can't be understood or is too large.
@@ -98,8 +112,7 @@
         if (isOwn && std::ranges::any_of(value, [](char c) {
                 return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
             }))
-            throw bad_request(
-                fmt::format("the header '{}' has a control character", header));
+            throw bad_request(fmt::format("the header '{}' has a control character", header));
     }
 }
 
@@ -128,8 +141,8 @@
         const auto object = parser.parse(body).extract<Object::Ptr>();
         for (const auto &[name, value] : *object)
             if (!known.contains(name))
-                throw bad_request(fmt::format("unknown key '{}' in the body",
-                                              name.substr(0, maxNameBytes)));
+                throw bad_request(
+                    fmt::format("unknown key '{}' in the body", name.substr(0, maxNameBytes)));
         return object;
     } catch (const Poco::Exception &failure) {
         throw bad_request("the body must be one JSON object: " + failure.displayText());
@@ -411,10 +424,9 @@
     const std::string_view path = asked.path;
     std::string allowed;
     for (const route_entry &entry : routes()) {
-        const bool matches = entry.hasName
-            ? path.size() > entry.prefix.size() + entry.suffix.size()
+        const bool matches = entry.hasName ? path.size() > entry.prefix.size() + entry.suffix.size()
                 && path.starts_with(entry.prefix) && path.ends_with(entry.suffix)
-            : path == entry.prefix;
+                                           : path == entry.prefix;
         if (!matches)
             continue;
         const std::string name(
@@ -444,13 +456,13 @@
         return sendProblem(response, HTTPServerResponse::HTTP_METHOD_NOT_ALLOWED, "bad-request",
                            "this path accepts " + allowed);
     }
-    sendProblem(response, HTTPServerResponse::HTTP_NOT_FOUND, "not-found",
-                fmt::format("no such path: {} {}", request.getMethod(),
-                            path.substr(0, maxTextBytes)));
+    sendProblem(
+        response, HTTPServerResponse::HTTP_NOT_FOUND, "not-found",
+        fmt::format("no such path: {} {}", request.getMethod(), path.substr(0, maxTextBytes)));
 }
 
-void admin_server::getHealth(HTTPServerRequest &, HTTPServerResponse &response,
-                             const std::string &, const target &)
+void admin_server::getHealth(HTTPServerRequest &, HTTPServerResponse &response, const std::string &,
+                             const target &)
 {
     sendBody(response, HTTPServerResponse::HTTP_OK, "text/plain", "ok\n");
 }
@@ -650,7 +662,7 @@
         object->set("is_leader", view.isConnected && view.leader == id);
         const auto found = known.find(id);
         object->set("role",
-                    std::string(found == known.end()    ? "none"
+                    std::string(found == known.end()       ? "none"
                                     : found->second->voter ? "voter"
                                                            : "learner"));
         if (found != known.end()) {
@@ -702,8 +714,8 @@
     status.set("instances", instances);
 }
 
-void admin_server::getStatus(HTTPServerRequest &, HTTPServerResponse &response,
-                             const std::string &, const target &)
+void admin_server::getStatus(HTTPServerRequest &, HTTPServerResponse &response, const std::string &,
+                             const target &)
 {
     const role_view view = m_log.view();
     const auto confirmed = m_confirmed.read();
@@ -722,9 +734,9 @@
     replica->set("connected", view.isConnected && (!view.isLeader || isLeading));
     if (confirmed) {
         replica->set("confirmed_revision", confirmed->revision);
-        replica->set("confirmed_age_ms", std::chrono::ceil<std::chrono::milliseconds>(
-                                             m_clock.now() - confirmed->at)
-                                             .count());
+        replica->set(
+            "confirmed_age_ms",
+            std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - confirmed->at).count());
     }
     Object object;
     object.set("replica", replica);
--- a/src/control/admin_server.h
+++ b/src/control/admin_server.h
@@ -61,32 +61,37 @@
     static const std::vector<route_entry> &routes();
     void route(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
                const target &asked);
-    void listProfiles(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+    void listProfiles(Poco::Net::HTTPServerRequest &request,
+                      Poco::Net::HTTPServerResponse &response, const std::string &name,
+                      const target &asked);
     void getProfile(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                    const std::string &name, const target &asked);
     void getHistory(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                    const std::string &name, const target &asked);
     void putProfile(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                    const std::string &name, const target &asked);
     void listDrains(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
-    void announceDrain(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                    const std::string &name, const target &asked);
+    void announceDrain(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response, const std::string &name,
+                       const target &asked);
     void cancelDrain(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
-    void removeInstance(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
-    void changeMembers(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                     const std::string &name, const target &asked);
+    void removeInstance(Poco::Net::HTTPServerRequest &request,
+                        Poco::Net::HTTPServerResponse &response, const std::string &name,
+                        const target &asked);
+    void changeMembers(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response, const std::string &name,
+                       const target &asked);
     void getStatus(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
-    void getReadiness(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                   const std::string &name, const target &asked);
+    void getReadiness(Poco::Net::HTTPServerRequest &request,
+                      Poco::Net::HTTPServerResponse &response, const std::string &name,
+                      const target &asked);
     void getHealth(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                   const std::string &name, const target &asked);
     void getMetrics(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-        const std::string &name, const target &asked);
+                    const std::string &name, const target &asked);
     void answerEdit(Poco::Net::HTTPServerResponse &response, const wire::edit &edit);
     void answerNotLeader(Poco::Net::HTTPServerResponse &response, replica_id leader);
     void addMembers(Poco::JSON::Object &status) const;
--- a/src/control/allocation_service.cc
+++ b/src/control/allocation_service.cc
@@ -53,8 +53,7 @@
 bool allocation_service::enter(std::uint64_t term)
 {
     const auto confirmed = m_confirmed.read();
-    if (!confirmed || confirmed->term != term
-        || m_clock.now() - confirmed->at > longestUnconfirmed)
+    if (!confirmed || confirmed->term != term || m_clock.now() - confirmed->at > longestUnconfirmed)
         return false;
     if (!m_leader || m_leader->term != term) {
         startTerm(*confirmed);
@@ -84,8 +83,8 @@
             m_leader->shares[service.name] = {largest, ++m_changes, {}};
         for (const upstream_spec &upstream : service.upstreams) {
             const std::string region = m_settings.deployment.regionOf(upstream.failureDomain);
-            pools.push_back({service.name, upstream.name, region, upstream.failureDomain,
-                             upstream.slots});
+            pools.push_back(
+                {service.name, upstream.name, region, upstream.failureDomain, upstream.slots});
             m_leader->shifts[{service.name, region}].regionSlots += upstream.slots;
         }
     }
@@ -205,9 +204,8 @@
     m_leader->slots->setMembers(members, now);
     for (const auto &[region, pools] : m_leader->foreign) {
         std::vector<slot_member> near;
-        std::ranges::copy_if(members, std::back_inserter(near), [&](const slot_member &member) {
-            return member.region == region;
-        });
+        std::ranges::copy_if(members, std::back_inserter(near),
+                             [&](const slot_member &member) { return member.region == region; });
         pools->setMembers(near, now);
     }
     m_leader->members = std::move(members);
@@ -250,9 +248,8 @@
     for (const wire::upstream_demand &pool : report.upstreams()) {
         bool &applied = hasApplied.try_emplace(pool.service(), true).first->second;
         const auto granted = last->second.grants.find({pool.service(), pool.upstream()});
-        const allocation_epoch needed = granted == last->second.grants.end()
-            ? epochOfTerm(m_leader->term)
-            : granted->second;
+        const allocation_epoch needed
+            = granted == last->second.grants.end() ? epochOfTerm(m_leader->term) : granted->second;
         applied = applied && pool.epoch() >= needed;
     }
     for (auto &[service, share] : m_leader->shares)
@@ -365,8 +362,8 @@
         for (const auto &[instance, claim] : shift->second.claims)
             held += claim.held;
         const profile &rules = m_leader->profiles[foreign.service()];
-        const auto step = std::max(
-            1U, static_cast<std::uint32_t>(rules.shiftCap * shift->second.regionSlots));
+        const auto step
+            = std::max(1U, static_cast<std::uint32_t>(rules.shiftCap * shift->second.regionSlots));
         shift->second.limit = held + step;
         pools->second->setCapacity(name, report.region(), shift->second.limit);
     }
@@ -399,8 +396,8 @@
         if (load.answers > 0) {
             sample.latency = std::chrono::microseconds(
                 std::llround(load.latencySum / static_cast<double>(load.answers)));
-            sample.shedShare = static_cast<double>(load.sheds)
-                / static_cast<double>(load.answers + load.sheds);
+            sample.shedShare
+                = static_cast<double>(load.sheds) / static_cast<double>(load.answers + load.sheds);
         }
         shift.isStarted = true;
         const shift_decision decision
--- a/src/control/confirmation.h
+++ b/src/control/confirmation.h
@@ -32,8 +32,8 @@
         const std::lock_guard lock(m_mutex);
         if (m_value && m_value->at >= newer.at)
             return;
-        const bool continues = m_value && m_value->term == newer.term
-            && newer.at - m_value->at <= longestGap;
+        const bool continues
+            = m_value && m_value->term == newer.term && newer.at - m_value->at <= longestGap;
         newer.unbrokenSince = continues ? m_value->unbrokenSince : newer.at;
         m_value = newer;
     }
--- a/src/control/confirmation_duty.cc
+++ b/src/control/confirmation_duty.cc
@@ -63,7 +63,8 @@
     wire::probe_reply reply;
     if (member->link->Probe(&context, request, &reply).ok() && reply.confirmed()
         && reply.replica() == leader)
-        m_target.update({reply.confirmed_revision(), reply.term(),
+        m_target.update({reply.confirmed_revision(),
+                         reply.term(),
                          start - std::chrono::milliseconds(reply.confirmed_age_ms()),
                          {}});
 }
--- a/src/control/control_instance.h
+++ b/src/control/control_instance.h
@@ -32,7 +32,8 @@
 {
 public:
     // All references must outlive this. `log` must drive `state`. `moreServices` are served on the
-    // same gRPC address; without `members` operators can't change the group. Throws control_error if an address can't be bound.
+    // same gRPC address; without `members` operators can't change the group. Throws control_error
+    // if an address can't be bound.
     control_instance(const settings &config, replicator &log, control_state &state, feed_hub &hub,
                      const clock_source &clock, event_log &events, metric_registry &metrics,
                      const json_tracer &tracer,
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -152,8 +152,8 @@
 {
     const wire::put_profile &put = edit.put();
     if (put.yaml().size() > m_limits.maxProfileBytes)
-        return failed(wire::EDIT_INVALID, fmt::format("the profile is larger than {} bytes",
-                                                      m_limits.maxProfileBytes));
+        return failed(wire::EDIT_INVALID,
+                      fmt::format("the profile is larger than {} bytes", m_limits.maxProfileBytes));
     try {
         if (parseProfile(put.yaml()).name != put.name())
             return failed(wire::EDIT_INVALID, "the profile's name differs from the one edited");
@@ -374,8 +374,7 @@
         const auto holder = holders.find(position);
         if (holder != holders.end()) {
             wire::instance_record &other = *holder->second;
-            if (!other.removed()
-                || other.removed_ms() + m_limits.positionHold.count() > m_wallMs)
+            if (!other.removed() || other.removed_ms() + m_limits.positionHold.count() > m_wallMs)
                 continue;
             other.clear_has_position();
             other.clear_position();
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -59,8 +59,8 @@
 };
 
 // Accepted state of the deployment: profiles with history, drains, entry instances and their
-// removals, outcomes of operators' edits by request id, and keyed requests. It is driven by the replicated log with
-// wire::command and answers with wire::apply_result. Reads are thread-safe.
+// removals, outcomes of operators' edits by request id, and keyed requests. It is driven by the
+// replicated log with wire::command and answers with wire::apply_result. Reads are thread-safe.
 class control_state final : public state_machine
 {
 public:
--- a/src/control/instance_registry.cc
+++ b/src/control/instance_registry.cc
@@ -207,8 +207,8 @@
         if (result.size() >= limit)
             break;
         // A process that was removed does not come back by itself.
-        const std::uint64_t before = std::max(known.registeredIncarnation,
-                                              known.isRemoved ? known.removedIncarnation : 0);
+        const std::uint64_t before
+            = std::max(known.registeredIncarnation, known.isRemoved ? known.removedIncarnation : 0);
         if (!known.hasReported || known.status.incarnation <= before)
             continue;
         wire::register_instance &added = result.emplace_back();
--- a/src/control/instance_service.cc
+++ b/src/control/instance_service.cc
@@ -27,12 +27,11 @@
         return !item.service().empty() && item.service().size() <= maxNameBytes;
     };
     return !report.instance().empty() && report.instance().size() <= maxNameBytes
-        && report.http_address().size() <= maxAddressBytes
-        && report.region().size() <= maxNameBytes && report.failure_domain().size() <= maxNameBytes
+        && report.http_address().size() <= maxAddressBytes && report.region().size() <= maxNameBytes
+        && report.failure_domain().size() <= maxNameBytes
         && report.upstreams_size() <= maxReportedUpstreams
         && report.services_size() <= maxReportedServices
-        && report.foreign_size() <= maxReportedServices
-        && report.peers_size() <= maxReportedPeers
+        && report.foreign_size() <= maxReportedServices && report.peers_size() <= maxReportedPeers
         && std::ranges::all_of(report.upstreams(), hasName)
         && std::ranges::all_of(report.services(), hasName)
         && std::ranges::all_of(report.foreign(), hasName);
--- a/src/control/platform_list.cc
+++ b/src/control/platform_list.cc
@@ -37,8 +37,7 @@
     return result;
 }
 
-std::optional<platform_list> readPlatformList(const std::filesystem::path &file,
-                                              std::string &fault)
+std::optional<platform_list> readPlatformList(const std::filesystem::path &file, std::string &fault)
 {
     std::ifstream input(file, std::ios::binary);
     if (!input) {
--- a/src/entry/slot_ledger.cc
+++ b/src/entry/slot_ledger.cc
@@ -21,8 +21,8 @@
     std::vector<row_report> result;
     for (const auto &[names, place] : m_index) {
         const row &item = m_rows[place.first][place.second];
-        result.push_back(
-            {names.first, names.second, item.lease.allowed(now), item.inFlight, item.lease.epoch()});
+        result.push_back({names.first, names.second, item.lease.allowed(now), item.inFlight,
+                          item.lease.epoch()});
     }
     return result;
 }
