--- a/src/agreement/consensus_core.cc
+++ b/src/agreement/consensus_core.cc
@@ -913,8 +913,14 @@
 
 void consensus_core::handleJoin(const wire::peer_message &message)
 {
-    if (m_role != core_role::leader)
+    if (m_role != core_role::leader) {
+        // The replica may know none but this one; the leader answers it directly.
+        if (m_settings.automaticMembers > 0 && m_leader != 0 && m_leader != message.from()) {
+            wire::peer_message &forwarded = m_messages.emplace_back(message);
+            forwarded.set_to(m_leader);
+        }
         return;
+    }
     const wire::log_member *member = findMember(message.from());
     if (member != nullptr && member->incarnation() == message.from_incarnation())
         return;
@@ -970,6 +976,24 @@
         if (replaceMember(id, id) == membership_result::started)
             return;
     }
+    if (m_settings.automaticMembers > 0)
+        admitJoining();
+}
+
+// Adds one replica that asks to join: as a further member while there is room, otherwise in place
+// of a member that has been silent for long. Returns whether a change was started.
+bool consensus_core::admitJoining()
+{
+    for (const auto &[id, attempt] : m_joins) {
+        if (findMember(id) != nullptr || !isRecentJoin(attempt))
+            continue;
+        if (static_cast<std::size_t>(members().members_size()) < m_settings.automaticMembers)
+            return addMember(id, false) == membership_result::started;
+        for (const auto &[oldId, peer] : m_progress)
+            if (m_now - peer.heardAt >= m_settings.abandonTicks)
+                return replaceMember(oldId, id) == membership_result::started;
+    }
+    return false;
 }
 
 // Time
--- a/src/agreement/consensus_core.h
+++ b/src/agreement/consensus_core.h
@@ -25,6 +25,12 @@
     bool founding = false; // the data folder was created as that of a founding member
     std::vector<replica_id> peers; // whom a replica without a vote asks to join
     std::uint64_t seed = 1; // of election timeouts
+    // The leader adds replicas that ask to join by itself while there are fewer members than this;
+    // 0: only operators add members.
+    std::size_t automaticMembers = 0;
+    // With automaticMembers: a member that was silent for so long gives way to one that asks to
+    // join once the group is full.
+    unsigned abandonTicks = 400;
 
     unsigned electionTicks = 20; // timeouts are drawn from electionTicks to 2 * electionTicks - 1
     unsigned heartbeatTicks = 3;
@@ -244,6 +250,7 @@
     void handleChunk(const wire::peer_message &message);
     void handleChunkReply(const wire::peer_message &message);
     void handleJoin(const wire::peer_message &message);
+    bool admitJoining();
     progress *acknowledgedBy(const wire::peer_message &message);
     void acceptLeader(const wire::peer_message &message);
 
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -35,7 +35,10 @@
     // Creates the data folder of a founding member. Without it, an empty folder is a repair: the
     // replica starts with a new incarnation and no vote, and asks the members to join.
     bool initialize = false;
+    bool keepsExisting = false; // with `initialize`: a folder that has been made is used as it is
     std::uint64_t seed = 0; // of election timeouts and the incarnation; 0: random
+    // The leader adds replicas that ask to join up to this many members; 0: only operators do.
+    std::size_t automaticMembers = 0;
 
     std::chrono::milliseconds tick{50};
     std::chrono::milliseconds heartbeat{150};
--- /dev/null
+++ b/src/carrier/carried_request.cc
@@ -0,0 +1,490 @@
+#include "carrier/carried_request.h"
+
+#include "steering/upstream_placement.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr int notFound = 404;
+constexpr int requestTimeout = 408;
+constexpr int misdirected = 421;
+constexpr int tooManyRequests = 429;
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+constexpr int firstServerError = 500;
+
+constexpr std::chrono::milliseconds assumedDeadline{30'000}; // of a caller that names none
+// The caller closes at its deadline; an answer on its way then is lost.
+constexpr std::chrono::milliseconds deadlineMargin{20};
+// Several times the longest round trip; a lost packet is repeated only after a second or more.
+constexpr std::chrono::milliseconds nearConnectTimeout{150};
+constexpr std::chrono::milliseconds farConnectTimeout{450};
+constexpr std::uint32_t maxUnreached = 4;
+constexpr std::uint64_t maxResponseBytes = 16U << 20;
+// A connection that was idle for longer is more likely to be closed at the other end, and a request
+// that is not idempotent can't be sent again after that.
+constexpr std::chrono::milliseconds safeIdle{6'000};
+constexpr std::chrono::milliseconds unsafeIdle{2'500};
+constexpr const char *retryAfter = "0.3"; // seconds
+
+// Fields that concern one connection only, or that are set anew for each connection.
+constexpr std::array<std::string_view, 10> connectionFields = {"Connection",
+                                                               "Keep-Alive",
+                                                               "Transfer-Encoding",
+                                                               "TE",
+                                                               "Trailer",
+                                                               "Upgrade",
+                                                               "Expect",
+                                                               "Proxy-Authenticate",
+                                                               "Proxy-Connection",
+                                                               "Content-Length"};
+
+bool isConnectionField(const http_head &head, std::string_view name)
+{
+    if (std::ranges::any_of(connectionFields,
+                            [&](std::string_view field) { return equalsIgnoreCase(field, name); }))
+        return true;
+    // Fields that Connection names.
+    std::string_view list;
+    const std::string *connection = head.find("Connection");
+    if (connection == nullptr)
+        return false;
+    list = *connection;
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        std::string_view option = list.substr(0, comma);
+        while (option.starts_with(' '))
+            option.remove_prefix(1);
+        while (option.ends_with(' '))
+            option.remove_suffix(1);
+        if (equalsIgnoreCase(option, name))
+            return true;
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return false;
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc() || end == text.data())
+        return std::nullopt;
+    return value;
+}
+
+// Value of the cookie `name`, or nothing.
+std::optional<std::string> cookieValue(const http_head &head, std::string_view name)
+{
+    for (const auto &[field, value] : head.fields) {
+        if (!equalsIgnoreCase(field, "Cookie"))
+            continue;
+        std::string_view list = value;
+        while (!list.empty()) {
+            const auto end = list.find(';');
+            std::string_view pair = list.substr(0, end);
+            while (pair.starts_with(' '))
+                pair.remove_prefix(1);
+            const auto equals = pair.find('=');
+            if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+                return std::string(pair.substr(equals + 1));
+            list = end == std::string_view::npos ? std::string_view() : list.substr(end + 1);
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view nameOf(call_failure failure)
+{
+    switch (failure) {
+    case call_failure::not_connected:
+        return "not connected";
+    case call_failure::not_sent:
+        return "connection lost before sending";
+    case call_failure::no_response:
+        return "no response";
+    case call_failure::malformed:
+        return "malformed response";
+    case call_failure::truncated:
+        return "truncated response";
+    case call_failure::too_large:
+        return "response too large";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+carried_request::carried_request(carrier &owner, exchange_pointer exchange)
+    : m_owner(owner)
+    , m_exchange(std::move(exchange))
+    , m_id(m_exchange->head.get(owner.m_protocol.requestId))
+    , m_routes(owner.m_routes)
+{ }
+
+carried_request::~carried_request() = default;
+
+std::chrono::milliseconds carried_request::timeLeft() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_limit - std::chrono::steady_clock::now());
+}
+
+void carried_request::start()
+{
+    const http_head &head = m_exchange->head;
+    if (!m_routes) {
+        answerOwn(unavailable, "no routing document yet");
+        return;
+    }
+    if (m_owner.m_isStopping) {
+        answerOwn(unavailable, "stopping");
+        return;
+    }
+    m_route = m_routes->find(head.get("Host"), head.target);
+    if (m_route == nullptr) {
+        answerOwn(notFound, "no route");
+        return;
+    }
+    const auto stated = parseNumber(head.get(m_owner.m_protocol.deadlineMs));
+    const auto allowed
+        = stated ? std::chrono::milliseconds(std::max<std::int64_t>(0, *stated)) : assumedDeadline;
+    m_deadline = m_exchange->arrival + allowed;
+    m_limit = m_deadline - deadlineMargin;
+    if (m_route->timeout.count() > 0)
+        m_limit = std::min(m_limit, m_exchange->arrival + m_route->timeout);
+    if (const auto object = cookieValue(head, m_owner.m_protocol.affinityCookie))
+        m_affinity = combineHashes(hashOf(m_route->name), hashOf(*object));
+    m_service = m_owner.m_splitter.choose(*m_route);
+    m_owner.stateOf(m_service).budget.recordRequest(m_owner.m_loop.now());
+    if (timeLeft().count() <= 0) {
+        answerOwn(unavailable, "its time was over on arrival");
+        return;
+    }
+    m_timeoutTimer = m_owner.m_loop.runAfter(timeLeft(), [self = shared_from_this()] {
+        self->m_timeoutTimer = 0;
+        self->handleTimeout();
+    });
+    m_exchange->onCallerGone = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->handleCallerGone();
+    };
+    attempt();
+}
+
+void carried_request::attempt()
+{
+    const carrier::choice chosen = m_owner.choose(*m_route, m_service, m_affinity, m_tried);
+    if (!chosen.upstream) {
+        answerOwn(m_mayHaveRun ? badGateway : unavailable, chosen.reason);
+        return;
+    }
+    m_upstream = chosen.upstream;
+    m_tried.insert(m_upstream->listed.id);
+    ++m_upstream->inFlight;
+    const bool isIdempotent = m_route->kind == request_kind::idempotent;
+    m_client = m_owner.m_upstreams.takeIdle(*m_upstream, isIdempotent ? safeIdle : unsafeIdle);
+    m_isReused = m_client != nullptr;
+    if (!m_client) {
+        try {
+            m_client = std::make_unique<http_client>(m_owner.m_loop, m_upstream->address,
+                                                     maxResponseBytes);
+        } catch (const net_error &failure) {
+            m_owner.m_events.write(event_id::attempt_failed,
+                                   {{"id", m_id}, {"reason", failure.what()}});
+            releaseUpstream();
+            answerOwn(m_mayHaveRun ? badGateway : unavailable, "no descriptor");
+            return;
+        }
+        const auto limit = m_upstream->region == m_owner.m_settings.region ? nearConnectTimeout
+                                                                           : farConnectTimeout;
+        m_connectTimer = m_owner.m_loop.runAfter(limit, [self = shared_from_this()] {
+            self->m_connectTimer = 0;
+            self->handleConnectTimeout();
+        });
+    }
+    send();
+}
+
+void carried_request::send()
+{
+    m_sentAt = m_owner.m_loop.now();
+    ++m_attempts;
+    http_client::call call;
+    call.request = encode(std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::min(m_deadline, m_limit) - std::chrono::steady_clock::now()));
+    call.isHead = m_exchange->head.method == "HEAD";
+    if (!m_id.empty())
+        call.matches = [this](const http_head &head) {
+            const std::string *echoed = head.find(m_owner.m_protocol.requestId);
+            return echoed == nullptr || *echoed == m_id;
+        };
+    call.onResponse = [self = shared_from_this()](client_response response) {
+        self->handleResponse(std::move(response));
+    };
+    call.onFailure
+        = [self = shared_from_this()](call_failure failure) { self->handleFailure(failure); };
+    m_client->start(std::move(call));
+}
+
+std::string carried_request::encode(std::chrono::milliseconds left) const
+{
+    const http_head &head = m_exchange->head;
+    const carry_protocol &protocol = m_owner.m_protocol;
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+    for (const auto &[name, value] : head.fields)
+        if (!isConnectionField(head, name) && !equalsIgnoreCase(name, protocol.deadlineMs)
+            && !equalsIgnoreCase(name, protocol.expectedUpstream))
+            text += fmt::format("{}: {}\r\n", name, value);
+    text += fmt::format("{}: {}\r\n{}: {}\r\n", protocol.deadlineMs,
+                        std::max<std::int64_t>(1, left.count()), protocol.expectedUpstream,
+                        m_upstream->listed.id);
+    if (head.framing != body_framing::none)
+        text += fmt::format("Content-Length: {}\r\n", m_exchange->body.size());
+    text += "\r\n";
+    text += m_exchange->body;
+    return text;
+}
+
+bool carried_request::isNotRun(const client_response &response) const
+{
+    return response.head.status == misdirected
+        || response.head.find(m_owner.m_protocol.notRun) != nullptr;
+}
+
+void carried_request::handleResponse(client_response response)
+{
+    m_owner.m_loop.cancel(m_connectTimer);
+    const steady_time now = m_owner.m_loop.now();
+    const int status = response.head.status;
+    upstream_state &upstream = *m_upstream;
+    if (const std::string *load = response.head.find(m_owner.m_protocol.load)) {
+        const auto comma = load->find(',');
+        const auto running = parseNumber(*load);
+        const auto waiting = comma == std::string::npos
+            ? std::nullopt
+            : parseNumber(std::string_view(*load).substr(comma + 1));
+        if (running && waiting)
+            upstream.recordLoad(static_cast<double>(*running), static_cast<double>(*waiting), now);
+    }
+    const bool notRun = isNotRun(response);
+    const bool isFailure = notRun || status >= firstServerError;
+    upstream.recordOutcome(isFailure, now);
+    if (!isFailure)
+        upstream.recordServiceTime(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sentAt), now);
+    if (status == misdirected) {
+        const std::string *other = response.head.find(m_owner.m_protocol.upstreamId);
+        upstream.isReplaced = other == nullptr || *other != upstream.listed.id;
+    }
+    releaseUpstream();
+    if (m_isFinished) {
+        m_owner.m_loop.cancel(m_timeoutTimer);
+        return;
+    }
+    if (notRun) {
+        logAttempt("not run");
+        repeatOrAnswer(unavailable, "upstream refused", true);
+        return;
+    }
+    const bool isPromise
+        = status == unavailable || status == tooManyRequests || status == requestTimeout;
+    if (status >= firstServerError || isPromise) {
+        m_mayHaveRun = true;
+        logAttempt("failed");
+        if (m_route->kind == request_kind::idempotent && mayRepeat(true)) {
+            attempt();
+            return;
+        }
+        // Such a status would promise the caller that the request did not run.
+        if (isPromise) {
+            answerOwn(badGateway, "upstream failed");
+            return;
+        }
+    }
+    deliver(std::move(response));
+}
+
+void carried_request::handleFailure(call_failure failure)
+{
+    m_owner.m_loop.cancel(m_connectTimer);
+    const steady_time now = m_owner.m_loop.now();
+    const bool arrived
+        = failure != call_failure::not_connected && failure != call_failure::not_sent;
+    if (failure == call_failure::not_connected)
+        m_upstream->recordUnreachable(now);
+    else if (arrived)
+        m_upstream->recordOutcome(true, now);
+    // Nothing was wrong with the upstream if only an idle connection had been closed.
+    if (failure == call_failure::not_sent && m_isReused)
+        m_tried.erase(m_upstream->listed.id);
+    logAttempt(nameOf(failure));
+    releaseUpstream();
+    if (m_isFinished) {
+        m_owner.m_loop.cancel(m_timeoutTimer);
+        return;
+    }
+    if (!arrived)
+        --m_attempts;
+    m_mayHaveRun = m_mayHaveRun || arrived;
+    if (arrived && m_route->kind != request_kind::idempotent) {
+        answerOwn(badGateway, "outcome unknown");
+        return;
+    }
+    repeatOrAnswer(m_mayHaveRun ? badGateway : unavailable, "upstreams failed", arrived);
+}
+
+void carried_request::handleConnectTimeout()
+{
+    if (!m_client || m_client->isConnected())
+        return;
+    m_client->cancel();
+    handleFailure(call_failure::not_connected);
+}
+
+bool carried_request::mayRepeat(bool arrived)
+{
+    if (timeLeft().count() <= 0 || m_exchange->isCallerGone())
+        return false;
+    if (!arrived)
+        return ++m_unreached < maxUnreached;
+    return m_attempts < std::max(1U, m_route->maxAttempts)
+        && m_owner.stateOf(m_service).budget.tryTake(m_owner.m_loop.now(),
+                                                     m_owner.m_instances.size());
+}
+
+void carried_request::repeatOrAnswer(int status, const char *reason, bool arrived)
+{
+    if (mayRepeat(arrived))
+        attempt();
+    else
+        answerOwn(m_mayHaveRun && status == unavailable ? badGateway : status, reason);
+}
+
+void carried_request::handleTimeout()
+{
+    const bool wasSent = m_client && m_client->hasSent();
+    if (m_upstream) {
+        m_upstream->recordOutcome(true, m_owner.m_loop.now());
+        logAttempt("timed out");
+    }
+    if (m_client)
+        m_client->cancel();
+    releaseUpstream();
+    if (m_isFinished)
+        return;
+    if (wasSent || m_mayHaveRun)
+        answerOwn(gatewayTimeout, "time over");
+    else
+        answerOwn(unavailable, "time over before it was sent");
+}
+
+void carried_request::handleCallerGone()
+{
+    if (m_isFinished)
+        return;
+    if (m_owner.m_log.admits(event_id::caller_left))
+        m_owner.m_log.write(event_id::caller_left,
+                            {{"id", m_id}, {"upstream", m_upstream ? m_upstream->listed.id : ""}});
+    const bool isSent = m_client && m_client->hasSent();
+    m_isFinished = true;
+    // Work that is not idempotent goes on, until its time is over: breaking it off would not make
+    // its outcome known.
+    if (m_client && isSent && m_route->kind != request_kind::idempotent)
+        return;
+    if (m_client)
+        m_client->cancel();
+    releaseUpstream();
+    m_owner.m_loop.cancel(m_timeoutTimer);
+    m_owner.m_loop.cancel(m_connectTimer);
+}
+
+void carried_request::releaseUpstream()
+{
+    if (m_upstream) {
+        --m_upstream->inFlight;
+        if (m_client && m_client->isReusable())
+            m_owner.m_upstreams.keepIdle(m_upstream, std::move(m_client));
+        m_upstream.reset();
+    }
+    // The connection may be on the stack.
+    if (m_client)
+        m_owner.m_loop.post([closed = std::shared_ptr<http_client>(std::move(m_client))] {});
+    m_client.reset();
+}
+
+void carried_request::deliver(client_response response)
+{
+    http_fields fields;
+    for (auto &[name, value] : response.head.fields)
+        if (!isConnectionField(response.head, name))
+            fields.emplace_back(name, value);
+    if (m_owner.m_log.admits(event_id::request_answered))
+        m_owner.m_log.write(event_id::request_answered,
+                            {{"id", m_id},
+                             {"route", m_route->name},
+                             {"status", response.head.status},
+                             {"attempts", m_attempts},
+                             {"version", m_routes->document().version},
+                             {"left_ms", timeLeft().count()}});
+    finish();
+    m_exchange->respond(response.head.status, fields, std::move(response.body));
+}
+
+void carried_request::answerOwn(int status, const char *reason)
+{
+    http_fields fields;
+    if (!m_id.empty())
+        fields.emplace_back(m_owner.m_protocol.requestId, m_id);
+    if (status == unavailable)
+        fields.emplace_back("Retry-After", retryAfter);
+    if (m_owner.m_log.admits(event_id::request_failed))
+        m_owner.m_log.write(event_id::request_failed,
+                            {{"id", m_id},
+                             {"route", m_route ? m_route->name : ""},
+                             {"status", status},
+                             {"reason", reason},
+                             {"attempts", m_attempts},
+                             {"unreached", m_unreached},
+                             {"version", m_routes ? m_routes->document().version : 0},
+                             {"left_ms", m_route ? timeLeft().count() : 0}});
+    m_owner.m_metrics
+        .counter("buckthorngrade_own_answers_total",
+                 fmt::format("status=\"{}\",reason=\"{}\"", status, reason))
+        .add();
+    finish();
+    m_exchange->respond(status, fields, std::string(reason) + "\n");
+}
+
+void carried_request::finish()
+{
+    m_isFinished = true;
+    m_owner.m_loop.cancel(m_timeoutTimer);
+    m_owner.m_loop.cancel(m_connectTimer);
+    m_exchange->onCallerGone = nullptr;
+}
+
+void carried_request::logAttempt(std::string_view outcome)
+{
+    if (m_upstream && m_owner.m_log.admits(event_id::attempt_failed))
+        m_owner.m_log.write(
+            event_id::attempt_failed,
+            {{"id", m_id},
+             {"upstream", m_upstream->listed.id},
+             {"domain", m_upstream->listed.failureDomain},
+             {"outcome", outcome},
+             {"attempt", m_attempts},
+             {"after_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(m_owner.m_loop.now() - m_sentAt)
+                  .count()}});
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/carrier/carrier.cc
@@ -0,0 +1,220 @@
+#include "carrier/carrier.h"
+
+#include "carrier/carried_request.h"
+#include "steering/upstream_placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds shareUpdatePeriod{200};
+constexpr std::chrono::milliseconds idleCheckPeriod{1'000};
+constexpr std::chrono::milliseconds leftOutPeriod{1'000};
+// Before anything was measured: the work of a request takes this part of its latency target.
+constexpr double assumedWorkShare = 0.4;
+constexpr std::chrono::milliseconds assumedTarget{500}; // for routes without one
+// A connection across failure domains costs more than the round trip that a request needs anyway.
+constexpr std::chrono::duration<double, std::milli> otherDomainTrip{8};
+constexpr std::chrono::duration<double, std::milli> otherRegionTrip{115};
+// Requests change region for reasons beyond the shares, too, so only a part of the bound is used.
+constexpr double usedPartOfShift = 0.33;
+
+region_share::limits shareLimits(const node_settings &settings)
+{
+    region_share::limits result;
+    result.step = settings.regionShift * usedPartOfShift;
+    return result;
+}
+
+} // namespace
+
+carrier::carrier(event_loop &loop, const node_settings &settings, const carry_protocol &protocol,
+                 event_log &events, metric_registry &metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_protocol(protocol)
+    , m_events(events)
+    , m_log(events)
+    , m_metrics(metrics)
+    , m_upstreams(loop, settings.regionOfDomain, events)
+    , m_random(hashOf(settings.name))
+{
+    loop.runEvery(shareUpdatePeriod, [this] { updateShares(); });
+    loop.runEvery(idleCheckPeriod, [this] { m_upstreams.closeIdle(); });
+    loop.runEvery(leftOutPeriod, [this] { m_log.reportLeftOut(); });
+}
+
+carrier::~carrier() = default;
+
+void carrier::handle(const exchange_pointer &exchange)
+{
+    std::make_shared<carried_request>(*this, exchange)->start();
+}
+
+void carrier::setRouting(std::shared_ptr<const route_table> routes)
+{
+    m_routes = std::move(routes);
+}
+
+void carrier::setEvacuated(std::set<std::string> domains)
+{
+    m_upstreams.setEvacuated(std::move(domains), m_routes.get());
+}
+
+void carrier::setUpstreams(const upstream_listing &listing)
+{
+    m_upstreams.apply(listing, m_routes.get());
+}
+
+void carrier::setInstances(std::vector<peer_instance> instances)
+{
+    m_instances = std::move(instances);
+}
+
+void carrier::setRegionLoads(std::vector<wire::region_load> loads)
+{
+    m_sharedLoads.clear();
+    for (const wire::region_load &load : loads)
+        m_sharedLoads[{load.service(), load.region()}] = load.utilization();
+}
+
+carrier::service_state &carrier::stateOf(const std::string &service)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
+        return found->second;
+    const retry_budget::limits budget{m_settings.retryShare, m_settings.retryAllowance,
+                                      m_settings.retryWindow};
+    return m_services
+        .emplace(service,
+                 service_state{retry_budget(budget),
+                               region_share(m_settings.region, shareLimits(m_settings)),
+                               {}})
+        .first->second;
+}
+
+std::vector<wire::region_load> carrier::ownLoads() const
+{
+    std::vector<wire::region_load> result;
+    for (const auto &[service, state] : m_services) {
+        double slots = 0;
+        double load = 0;
+        for (const upstream_state *upstream : m_upstreams.usable(service, m_loop.now())) {
+            if (upstream->region != m_settings.region)
+                continue;
+            slots += upstream->listed.slots;
+            load += upstream->estimatedLoad(m_loop.now());
+        }
+        if (slots <= 0)
+            continue;
+        wire::region_load &added = result.emplace_back();
+        added.set_service(service);
+        added.set_region(m_settings.region);
+        added.set_utilization(load / slots);
+    }
+    return result;
+}
+
+void carrier::updateShares()
+{
+    if (!m_routes || m_upstreams.isEmpty())
+        return;
+    for (const routed_service &service : m_routes->document().services) {
+        std::map<std::string, region_state> regions;
+        std::map<std::string, double> ownEstimate;
+        for (const upstream_state *upstream : m_upstreams.usable(service.name, m_loop.now())) {
+            regions[upstream->region].slots += upstream->listed.slots;
+            ownEstimate[upstream->region] += upstream->estimatedLoad(m_loop.now());
+        }
+        for (auto &[region, state] : regions) {
+            const auto shared = m_sharedLoads.find({service.name, region});
+            state.utilization = shared != m_sharedLoads.end() ? shared->second
+                                                              : ownEstimate[region] / state.slots;
+        }
+        service_state &state = stateOf(service.name);
+        if (!state.share.update(regions, m_loop.now()))
+            continue;
+        for (const auto &[region, share] : state.share.shares())
+            m_events.write(event_id::region_share_changed,
+                           {{"service", service.name},
+                            {"region", region},
+                            {"share", share},
+                            {"utilization", regions[region].utilization},
+                            {"own_utilization", regions[m_settings.region].utilization}});
+    }
+}
+
+double carrier::coldLimit(const upstream_state &upstream) const
+{
+    const routed_service *service
+        = m_routes ? m_routes->findService(upstream.listed.service) : nullptr;
+    if (service == nullptr || service->coldRate <= 0)
+        return 0;
+    return service->coldRate * m_settings.coldOverage + m_settings.coldAllowance;
+}
+
+carrier::choice carrier::choose(const route &route, const std::string &service,
+                                const std::optional<std::uint64_t> &affinity,
+                                const std::set<std::string> &excluded)
+{
+    const steady_time now = m_loop.now();
+    std::vector<upstream_state *> usable = m_upstreams.usable(service, now);
+    std::erase_if(usable, [&](const upstream_state *upstream) {
+        return excluded.contains(upstream->listed.id)
+            || (!route.homeRegions.empty()
+                && std::ranges::find(route.homeRegions, upstream->region)
+                    == route.homeRegions.end());
+    });
+    if (usable.empty())
+        return {nullptr, "no usable upstream"};
+    std::map<const upstream_state *, std::uint32_t> coldShares;
+    std::erase_if(usable, [&](upstream_state *upstream) {
+        if (!upstream->isCold(now))
+            return false;
+        const std::uint32_t share = coldShare(m_instances, m_settings.name, upstream->listed.id,
+                                              upstream->region, coldLimit(*upstream));
+        coldShares[upstream] = share;
+        return !upstream->coldGate.isOpen(now, share);
+    });
+    if (usable.empty())
+        return {nullptr, "only cold upstreams"};
+
+    const std::uint64_t random = m_random();
+    const std::string &region = stateOf(service).share.choose(affinity.value_or(random));
+    const auto isElsewhere
+        = [&](const upstream_state *upstream) { return upstream->region != region; };
+    const auto isAway
+        = [&](const upstream_state *upstream) { return upstream->region != m_settings.region; };
+    if (!std::ranges::all_of(usable, isElsewhere))
+        std::erase_if(usable, isElsewhere);
+    else if (!std::ranges::all_of(usable, isAway))
+        std::erase_if(usable, isAway);
+
+    const placement_request request{
+        affinity, random, route.latencyTarget.count() > 0 ? route.latencyTarget : assumedTarget};
+    std::vector<placement_candidate> candidates;
+    candidates.reserve(usable.size());
+    for (const upstream_state *upstream : usable) {
+        placement_candidate &candidate = candidates.emplace_back();
+        candidate.hash = upstream->hash;
+        candidate.slots = std::max(1U, upstream->listed.slots);
+        candidate.load = upstream->estimatedLoad(now);
+        candidate.serviceTime = upstream->serviceMs > 0
+            ? std::chrono::duration<double, std::milli>(upstream->serviceMs)
+            : request.latencyTarget * assumedWorkShare;
+        candidate.failureShare = upstream->estimatedFailureShare(now);
+        candidate.roundTrip = upstream->region != m_settings.region ? otherRegionTrip
+            : upstream->listed.failureDomain != m_settings.failureDomain
+            ? otherDomainTrip
+            : std::chrono::duration<double, std::milli>(0);
+    }
+    upstream_state *chosen = usable[placeRequest(candidates, request).value()];
+    if (const auto cold = coldShares.find(chosen); cold != coldShares.end())
+        chosen->coldGate.tryTake(now, cold->second);
+    return {m_upstreams.find(chosen->listed.id), "placed"};
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/carrier/carrier.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "carrier/carry_protocol.h"
+#include "carrier/request_log.h"
+#include "carrier/route_table.h"
+#include "carrier/upstream_table.h"
+#include "link.pb.h"
+#include "model/node_settings.h"
+#include "net/http_server.h"
+#include "steering/cold_gate.h"
+#include "steering/region_share.h"
+#include "steering/retry_budget.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthorngrade {
+
+class carried_request;
+
+// Carries callers' requests to upstreams by the routing document in force. All of it runs on the
+// event loop's thread.
+class carrier
+{
+public:
+    // All references must outlive this.
+    carrier(event_loop &loop, const node_settings &settings, const carry_protocol &protocol,
+            event_log &events, metric_registry &metrics);
+    ~carrier();
+    carrier(const carrier &) = delete;
+    carrier &operator=(const carrier &) = delete;
+
+    // Takes a request; its exchange is answered later.
+    void handle(const exchange_pointer &exchange);
+
+    void setRouting(std::shared_ptr<const route_table> routes);
+    void setEvacuated(std::set<std::string> domains);
+    void setUpstreams(const upstream_listing &listing);
+    void setInstances(std::vector<peer_instance> instances);
+    void setRegionLoads(std::vector<wire::region_load> loads);
+    // From now on new requests are refused.
+    void stopTaking() { m_isStopping = true; }
+
+    const route_table *routes() const { return m_routes.get(); }
+    const upstream_table &upstreams() const { return m_upstreams; }
+    // Load of the own region's upstreams, by service, for the report.
+    std::vector<wire::region_load> ownLoads() const;
+
+private:
+    friend class carried_request;
+
+    struct service_state
+    {
+        retry_budget budget;
+        region_share share;
+        std::set<std::string> regions; // with usable upstreams, when last looked at
+    };
+
+    struct choice
+    {
+        upstream_pointer upstream; // null: none can take the request
+        const char *reason = ""; // why none can, or which rule chose
+    };
+    // Picks the upstream for an attempt; upstreams in `excluded` were tried before.
+    choice choose(const route &route, const std::string &service,
+                  const std::optional<std::uint64_t> &affinity,
+                  const std::set<std::string> &excluded);
+    service_state &stateOf(const std::string &service);
+    void updateShares();
+    double coldLimit(const upstream_state &upstream) const;
+
+    event_loop &m_loop;
+    const node_settings &m_settings;
+    const carry_protocol &m_protocol;
+    event_log &m_events;
+    request_log m_log;
+    metric_registry &m_metrics;
+    std::shared_ptr<const route_table> m_routes;
+    upstream_table m_upstreams;
+    service_splitter m_splitter;
+    std::map<std::string, service_state> m_services;
+    std::vector<peer_instance> m_instances;
+    std::map<std::pair<std::string, std::string>, double> m_sharedLoads; // by service and region
+    std::mt19937_64 m_random;
+    bool m_isStopping = false;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/carrier/control_client.cc
@@ -0,0 +1,156 @@
+#include "carrier/control_client.h"
+
+#include <grpcpp/client_context.h>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+#include <grpcpp/support/channel_arguments.h>
+
+#include <thread>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+// gRPC gives an attempt to connect at least this long: three round trips between regions and a
+// repeated packet.
+constexpr int minConnectMs = 700;
+constexpr int firstBackoffMs = 100;
+constexpr int maxBackoffMs = 500;
+constexpr int maxMessageBytes = 4 << 20;
+
+} // namespace
+
+struct control_client::peer
+{
+    std::string host;
+    std::uint64_t generation = 0; // of the peer; a reply to an earlier one is ignored
+    std::shared_ptr<grpc::Channel> channel;
+    std::unique_ptr<wire::node_link::Stub> stub;
+    bool isBusy = false;
+    bool answers = false;
+    std::uint32_t failures = 0; // in a row
+};
+
+struct control_client::call_state
+{
+    grpc::ClientContext context;
+    wire::node_report report;
+    std::shared_ptr<wire::node_view> view = std::make_shared<wire::node_view>();
+};
+
+control_client::control_client(event_loop &loop, std::uint16_t port, event_log &events,
+                               view_handler onView)
+    : m_loop(loop)
+    , m_port(port)
+    , m_events(events)
+    , m_onView(std::move(onView))
+{ }
+
+control_client::~control_client()
+{
+    *m_isAlive = false;
+    // Each call ends at its deadline at the latest.
+    while (*m_underWay > 0)
+        std::this_thread::yield();
+}
+
+void control_client::reconnect(peer &to)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, firstBackoffMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, minConnectMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, maxBackoffMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(maxMessageBytes);
+    to.channel = grpc::CreateCustomChannel(fmt::format("{}:{}", to.host, m_port),
+                                           grpc::InsecureChannelCredentials(), arguments);
+    to.stub = wire::node_link::NewStub(to.channel);
+    to.failures = 0;
+}
+
+void control_client::setHosts(const std::set<std::string> &hosts)
+{
+    std::erase_if(m_peers, [&](const auto &item) {
+        return !hosts.contains(item.first) && !item.second->isBusy;
+    });
+    for (const std::string &host : hosts) {
+        std::unique_ptr<peer> &known = m_peers[host];
+        if (known)
+            continue;
+        known = std::make_unique<peer>();
+        known->host = host;
+        known->generation = m_nextGeneration++;
+        reconnect(*known);
+    }
+}
+
+void control_client::poll(const wire::node_report &report, const std::string &routingFrom)
+{
+    for (const auto &[host, to] : m_peers)
+        if (!to->isBusy)
+            start(*to, report, host == routingFrom);
+}
+
+void control_client::pollOne(const wire::node_report &report, const std::string &host)
+{
+    const auto found = m_peers.find(host);
+    if (found != m_peers.end() && !found->second->isBusy)
+        start(*found->second, report, true);
+}
+
+std::set<std::string> control_client::answering() const
+{
+    std::set<std::string> result;
+    for (const auto &[host, to] : m_peers)
+        if (to->answers)
+            result.insert(host);
+    return result;
+}
+
+void control_client::start(peer &to, const wire::node_report &report, bool wantsRouting)
+{
+    to.isBusy = true;
+    auto call = std::make_shared<call_state>();
+    call->report = report;
+    call->report.set_wants_routing(wantsRouting);
+    call->context.set_deadline(std::chrono::system_clock::now() + callTimeout);
+    ++*m_underWay;
+    to.stub->async()->Sync(&call->context, &call->report, call->view.get(),
+                           [this, call, host = to.host, generation = to.generation,
+                            isAlive = m_isAlive,
+                            underWay = m_underWay](const grpc::Status &status) {
+                               m_loop.post([this, call, host, generation, isAlive,
+                                            works = status.ok(), reason = status.error_message()] {
+                                   if (*isAlive)
+                                       finished(host, generation, works, reason, call->view);
+                               });
+                               --*underWay;
+                           });
+}
+
+void control_client::finished(const std::string &host, std::uint64_t generation, bool works,
+                              const std::string &reason,
+                              const std::shared_ptr<wire::node_view> &view)
+{
+    const auto found = m_peers.find(host);
+    if (found == m_peers.end() || found->second->generation != generation)
+        return;
+    peer &from = *found->second;
+    from.isBusy = false;
+    if (works != from.answers)
+        m_events.write(works ? event_id::control_regained : event_id::control_lost,
+                       {{"control", host}, {"reason", reason}});
+    from.answers = works;
+    if (works) {
+        from.failures = 0;
+        m_onView(host, *view);
+    } else if (++from.failures >= failuresUntilReconnect) {
+        reconnect(from);
+    }
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/carrier/entry_node.cc
@@ -0,0 +1,253 @@
+#include "carrier/entry_node.h"
+
+#include "base/ipv4.h"
+
+#include <algorithm>
+#include <random>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollPeriod{500};
+constexpr std::chrono::milliseconds startPollPeriod{100}; // until the instance is ready
+// Callers that hold the old answer of the directory send no more after it has expired; requests
+// that come later would not be finished within the stop limit.
+constexpr std::chrono::milliseconds stopTakingAfter{2'800};
+constexpr std::chrono::milliseconds stopCheckPeriod{50};
+constexpr std::chrono::milliseconds stopMargin{500}; // before the process would be killed
+// A view that a control instance cannot back with a leader may be old, so its list counts less.
+constexpr int ok = 200;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+
+std::uint64_t randomIncarnation()
+{
+    // Later processes have higher numbers; the clock's low bits make a restart distinct.
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
+upstream_listing toListing(const wire::node_view &view, steady_time readAt)
+{
+    upstream_listing listing;
+    listing.readAt = readAt;
+    for (const wire::node_upstream &sent : view.upstreams()) {
+        listed_upstream &upstream = listing.upstreams.emplace_back();
+        upstream.id = sent.id();
+        upstream.service = sent.service();
+        upstream.address = sent.address();
+        upstream.failureDomain = sent.failure_domain();
+        upstream.slots = sent.slots();
+        upstream.isDraining = sent.draining();
+        upstream.coldFor = std::chrono::milliseconds(sent.cold_ms());
+        upstream.startedMs = sent.started_ms();
+    }
+    return listing;
+}
+
+} // namespace
+
+entry_node::entry_node(event_loop &loop, node_settings settings, const carry_protocol &protocol,
+                       const routing_codec &codec, event_log &events, metric_registry &metrics)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_codec(codec)
+    , m_events(events)
+    , m_carrier(loop, m_settings, protocol, events, metrics)
+    , m_control(
+          loop, m_settings.replicaPort(), events,
+          [this](const std::string &host, const wire::node_view &view) { applyView(host, view); })
+    , m_incarnation(randomIncarnation())
+{
+    http_server_options options;
+    options.onInvalid = [this](const std::string &reason) {
+        m_events.write(event_id::invalid_request, {{"reason", reason}});
+    };
+    m_server = std::make_unique<http_server>(
+        loop, socket_address::parse(m_settings.entryAddress), options,
+        [this](const exchange_pointer &exchange) { m_carrier.handle(exchange); });
+    m_readyServer = std::make_unique<http_server>(
+        loop, socket_address::parse(m_settings.readyAddress), http_server_options(),
+        [this](const exchange_pointer &exchange) {
+            if (!exchange->head.target.ends_with("/ready"))
+                exchange->respond(notFound, {}, "");
+            else
+                exchange->respond(isReady() ? ok : unavailable, {}, "");
+        });
+    reload(m_settings);
+    poll();
+}
+
+void entry_node::reload(const node_settings &settings)
+{
+    m_settings.seedHosts = settings.seedHosts;
+    std::set<std::string> hosts(m_settings.seedHosts.begin(), m_settings.seedHosts.end());
+    hosts.insert(m_voterHosts.begin(), m_voterHosts.end());
+    m_control.setHosts(hosts);
+}
+
+wire::node_report entry_node::report() const
+{
+    wire::node_report result;
+    result.set_instance(m_settings.name);
+    result.set_incarnation(m_incarnation);
+    result.set_entry_address(m_settings.entryAddress);
+    result.set_region(m_settings.region);
+    result.set_failure_domain(m_settings.failureDomain);
+    result.set_ready(m_isReady);
+    result.set_leaving(m_isStopping);
+    result.set_routing_version(m_routingVersion);
+    result.set_evacuation_revision(m_evacuationRevision);
+    result.set_listing_digest(m_listingDigest);
+    for (wire::region_load &load : m_carrier.ownLoads())
+        *result.add_loads() = std::move(load);
+    return result;
+}
+
+// The control instance whose address is closest, of those that answer: addresses of a failure
+// domain or region share a prefix.
+std::string entry_node::nearestControl() const
+{
+    const std::uint32_t own = ipv4FromString(m_settings.host);
+    std::string best;
+    std::uint32_t bestDistance = 0;
+    for (const std::string &host : m_control.answering()) {
+        const std::uint32_t distance = own ^ ipv4FromString(host);
+        if (best.empty() || distance < bestDistance) {
+            best = host;
+            bestDistance = distance;
+        }
+    }
+    return best;
+}
+
+void entry_node::poll()
+{
+    m_control.poll(report(), nearestControl());
+    m_loop.runAfter(m_isReady ? pollPeriod : startPollPeriod, [this] { poll(); });
+}
+
+void entry_node::applyView(const std::string &host, const wire::node_view &view)
+{
+    m_heard.insert(host);
+    if (view.voters_size() > 0) {
+        m_voterHosts.clear();
+        std::ranges::transform(view.voters(), std::inserter(m_voterHosts, m_voterHosts.end()),
+                               ipv4ToString);
+        reload(m_settings);
+    }
+    applyRouting(view, host);
+    applyEvacuations(view);
+    applyListing(view);
+    if (view.has_leader() && view.entries_size() > 0) {
+        std::vector<peer_instance> instances;
+        for (const wire::node_entry &entry : view.entries())
+            instances.push_back({entry.instance(), entry.region()});
+        if (host == nearestControl()) {
+            m_carrier.setInstances(std::move(instances));
+            m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
+        }
+    }
+    updateReadiness();
+}
+
+void entry_node::applyRouting(const wire::node_view &view, const std::string &host)
+{
+    if (view.routing_version() <= m_routingVersion)
+        return;
+    if (view.routing_text().empty()) {
+        // Asked for it once the call under way has ended.
+        m_loop.post([this, host] { m_control.pollOne(report(), host); });
+        return;
+    }
+    try {
+        auto routes = std::make_shared<const route_table>(m_codec.decode(view.routing_text()));
+        m_routingVersion = view.routing_version();
+        const request_limits &limits = routes->document().limits;
+        http_server_options options = m_server->options();
+        options.headTimeout = limits.headerTimeout;
+        options.idleTimeout = limits.idleTimeout;
+        options.maxBodyBytes = limits.maxBodyBytes;
+        m_server->setOptions(options);
+        m_events.write(event_id::routing_applied,
+                       {{"version", m_routingVersion},
+                        {"routes", routes->document().routes.size()},
+                        {"from", host}});
+        m_carrier.setRouting(std::move(routes));
+    } catch (const settings_error &failure) {
+        m_events.write(event_id::routing_unreadable,
+                       {{"version", view.routing_version()}, {"reason", failure.what()}});
+    }
+}
+
+void entry_node::applyEvacuations(const wire::node_view &view)
+{
+    if (view.evacuation_revision() <= m_evacuationRevision)
+        return;
+    m_evacuationRevision = view.evacuation_revision();
+    m_events.write(event_id::evacuations_applied,
+                   {{"revision", m_evacuationRevision}, {"domains", view.evacuated_size()}});
+    m_carrier.setEvacuated({view.evacuated().begin(), view.evacuated().end()});
+}
+
+void entry_node::applyListing(const wire::node_view &view)
+{
+    if (view.listing_digest() == 0)
+        return;
+    const steady_time readAt = m_loop.now() - std::chrono::milliseconds(view.listing_age_ms());
+    if (readAt <= m_listingReadAt)
+        return;
+    if (view.listing_digest() != m_listingDigest) {
+        // The list that was left out of this view is not the one in use any more.
+        if (view.upstreams_size() == 0 && m_listingDigest != 0)
+            return;
+        m_listingDigest = view.listing_digest();
+        m_carrier.setUpstreams(toListing(view, readAt));
+    }
+    m_listingReadAt = readAt;
+}
+
+void entry_node::updateReadiness()
+{
+    if (m_isReady)
+        return;
+    const auto heard = static_cast<std::size_t>(std::ranges::count_if(
+        m_voterHosts, [this](const std::string &host) { return m_heard.contains(host); }));
+    if (heard * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listingDigest == 0)
+        return;
+    m_isReady = true;
+    m_events.write(event_id::readiness_changed,
+                   {{"ready", true}, {"version", m_routingVersion}, {"control", heard}});
+    m_control.poll(report(), nearestControl());
+}
+
+void entry_node::stop(std::function<void()> onStopped)
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_onStopped = std::move(onStopped);
+    m_server->announceStop();
+    m_control.poll(report(), nearestControl());
+    const steady_time since = m_loop.now();
+    m_loop.runAfter(stopTakingAfter, [this, since] {
+        m_carrier.stopTaking();
+        m_server->stopAccepting();
+        m_server->closeIdle();
+        checkStopped(since);
+    });
+}
+
+void entry_node::checkStopped(steady_time since)
+{
+    const bool isOver = m_loop.now() - since >= m_settings.stopLimit - stopMargin;
+    if (m_server->openRequests() == 0 || isOver) {
+        m_onStopped();
+        return;
+    }
+    m_loop.runAfter(stopCheckPeriod, [this, since] { checkStopped(since); });
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/carrier/upstream_table.cc
@@ -0,0 +1,203 @@
+#include "carrier/upstream_table.h"
+
+#include "steering/upstream_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthorngrade {
+
+namespace {
+
+using real_seconds = std::chrono::duration<double>;
+
+// What other instances had under way when the upstream reported fades with the length of a request.
+constexpr real_seconds foreignLoadLife{1.0};
+constexpr real_seconds failureLife{2.0}; // of an estimate of failures without new attempts
+constexpr real_seconds slowLife{4.0}; // of an estimate of slowness without new responses
+constexpr double smoothing = 0.2; // weight of a new sample
+constexpr std::chrono::milliseconds firstEjection{400};
+constexpr std::chrono::milliseconds longestEjection{3'000};
+constexpr unsigned maxDoublings = 3;
+// Upstreams close idle connections after 10 s; a margin for delays on the way.
+constexpr std::chrono::milliseconds longestIdle{6'000};
+constexpr std::chrono::milliseconds idleMargin{1'000};
+constexpr std::size_t maxIdleConnections = 16; // of one upstream
+
+double fade(steady_time since, steady_time now, real_seconds life)
+{
+    if (since == steady_time::min())
+        return 0;
+    return std::exp(-real_seconds(now - since) / life);
+}
+
+} // namespace
+
+double upstream_state::estimatedLoad(steady_time now) const
+{
+    const double foreign = std::max(0.0, reportedLoad - inFlightAtReport);
+    return inFlight + foreign * fade(reportedAt, now, foreignLoadLife);
+}
+
+double upstream_state::estimatedFailureShare(steady_time now) const
+{
+    return failureShare * fade(failureShareAt, now, failureLife);
+}
+
+void upstream_state::recordOutcome(bool failed, steady_time now)
+{
+    failureShare = estimatedFailureShare(now) * (1 - smoothing) + (failed ? smoothing : 0);
+    failureShareAt = now;
+    if (!failed)
+        connectFailures = 0;
+}
+
+void upstream_state::recordServiceTime(std::chrono::milliseconds time, steady_time now)
+{
+    const auto sample = static_cast<double>(time.count());
+    serviceMs = serviceMs == 0 ? sample : serviceMs * (1 - smoothing) + sample * smoothing;
+    serviceMsAt = now;
+}
+
+void upstream_state::recordLoad(double running, double waiting, steady_time now)
+{
+    reportedLoad = running + waiting;
+    inFlightAtReport = inFlight;
+    reportedAt = now;
+}
+
+void upstream_state::recordUnreachable(steady_time now)
+{
+    const unsigned doublings = std::min(connectFailures, maxDoublings);
+    ++connectFailures;
+    ejectedUntil = now + std::min(longestEjection, firstEjection * (1U << doublings));
+}
+
+upstream_table::upstream_table(event_loop &loop, std::map<std::string, std::string> regionOfDomain,
+                               event_log &events)
+    : m_loop(loop)
+    , m_regionOfDomain(std::move(regionOfDomain))
+    , m_events(events)
+{ }
+
+void upstream_table::apply(const upstream_listing &listing, const route_table *routes)
+{
+    std::map<std::string, upstream_pointer> next;
+    for (const listed_upstream &listed : listing.upstreams) {
+        // A process that started again under its id knows nothing of before.
+        const auto known = m_upstreams.find(listed.id);
+        const bool isSame = known != m_upstreams.end()
+            && known->second->listed.startedMs == listed.startedMs
+            && known->second->listed.address == listed.address
+            && known->second->listed.service == listed.service;
+        upstream_pointer state = isSame ? known->second : std::make_shared<upstream_state>();
+        if (!isSame) {
+            try {
+                state->address = socket_address::parse(listed.address);
+            } catch (const net_error &failure) {
+                m_events.write(event_id::listing_unavailable,
+                               {{"upstream", listed.id}, {"reason", failure.what()}});
+                continue;
+            }
+            state->hash = hashOf(listed.id);
+            const auto region = m_regionOfDomain.find(listed.failureDomain);
+            state->region = region == m_regionOfDomain.end() ? "" : region->second;
+        }
+        state->listed = listed;
+        if (listed.coldFor.count() > 0)
+            state->coldUntil = std::max(state->coldUntil, listing.readAt + listed.coldFor);
+        else if (!isSame && !m_upstreams.empty()) {
+            const routed_service *service
+                = routes == nullptr ? nullptr : routes->findService(listed.service);
+            if (service != nullptr)
+                state->coldUntil = listing.readAt + service->coldPeriod;
+        }
+        next.emplace(listed.id, std::move(state));
+    }
+    m_upstreams = std::move(next);
+    m_byService.clear();
+    for (const auto &[id, state] : m_upstreams)
+        m_byService[state->listed.service].push_back(state.get());
+    m_events.write(event_id::upstreams_applied,
+                   {{"upstreams", m_upstreams.size()},
+                    {"draining", std::ranges::count_if(m_upstreams, [](const auto &item) {
+                         return item.second->listed.isDraining;
+                     })}});
+}
+
+void upstream_table::setEvacuated(std::set<std::string> domains, const route_table *routes)
+{
+    const steady_time now = m_loop.now();
+    for (const auto &[id, state] : m_upstreams) {
+        const std::string &domain = state->listed.failureDomain;
+        if (!m_evacuated.contains(domain) || domains.contains(domain))
+            continue;
+        const routed_service *service
+            = routes == nullptr ? nullptr : routes->findService(state->listed.service);
+        if (service != nullptr)
+            state->coldUntil = std::max(state->coldUntil, now + service->coldPeriod);
+    }
+    m_evacuated = std::move(domains);
+}
+
+std::vector<upstream_state *> upstream_table::usable(const std::string &service,
+                                                     steady_time now) const
+{
+    std::vector<upstream_state *> result;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return result;
+    const auto isAllowed = [this](const upstream_state *state) {
+        return !state->listed.isDraining && !state->isReplaced && !isEvacuated(*state);
+    };
+    std::ranges::copy_if(found->second, std::back_inserter(result), [&](const auto *state) {
+        return isAllowed(state) && now >= state->ejectedUntil;
+    });
+    return result;
+}
+
+upstream_pointer upstream_table::find(const std::string &id) const
+{
+    const auto found = m_upstreams.find(id);
+    return found == m_upstreams.end() ? nullptr : found->second;
+}
+
+std::unique_ptr<http_client> upstream_table::takeIdle(upstream_state &upstream,
+                                                      std::chrono::milliseconds maxIdle)
+{
+    while (!upstream.idle.empty()) {
+        upstream_state::idle_connection first = std::move(upstream.idle.front());
+        upstream.idle.pop_front();
+        const auto announced = first.client->announcedIdle();
+        auto limit = std::min(maxIdle, longestIdle);
+        if (announced && *announced > idleMargin)
+            limit = std::min(limit, *announced - idleMargin);
+        if (first.client->isReusable() && m_loop.now() - first.since <= limit) {
+            first.client->onIdleClosed = [] {};
+            return std::move(first.client);
+        }
+        // The callback that reported the end may still be on the stack.
+        m_loop.post([closed = std::shared_ptr<http_client>(std::move(first.client))] {});
+    }
+    return nullptr;
+}
+
+void upstream_table::keepIdle(const upstream_pointer &upstream, std::unique_ptr<http_client> client)
+{
+    if (upstream->idle.size() >= maxIdleConnections || !client->isReusable()) {
+        m_loop.post([closed = std::shared_ptr<http_client>(std::move(client))] {});
+        return;
+    }
+    upstream->idle.push_front({std::move(client), m_loop.now()});
+}
+
+void upstream_table::closeIdle()
+{
+    for (const auto &[id, state] : m_upstreams)
+        std::erase_if(state->idle, [this](const upstream_state::idle_connection &connection) {
+            return !connection.client->isReusable()
+                || m_loop.now() - connection.since > longestIdle;
+        });
+}
+
+} // namespace buckthorngrade
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -3,6 +3,7 @@
 #include "cli/cli_error.h"
 #include "cli/command_line.h"
 #include "cli/run.h"
+#include "platform/platform_roles.h"
 
 #include <fmt/format.h>
 
@@ -26,6 +27,16 @@
     static const std::vector<command> table = {
         {"control", "", "run a control instance", {"config", "initialize"}, runControl},
         {"entry", "", "run an entry instance", {"config"}, runEntry},
+        {"platform-control",
+         "",
+         "run a control instance with the platform's settings",
+         {},
+         runPlatformControl},
+        {"platform-entry",
+         "",
+         "run an entry instance with the platform's settings",
+         {},
+         runPlatformEntry},
         {"check",
          "[PROFILE-FILE ...]",
          "check a process's settings and profile files",
--- a/src/cli/run_control.cc
+++ b/src/cli/run_control.cc
@@ -83,7 +83,7 @@
         = openReplica(loaded, FLAGS_initialize, files, state, link, clock, events, metrics);
     peer_link_service deliver(
         loaded.cluster, loaded.control.id,
-        [&log](std::string bytes) { log->receive(std::move(bytes)); }, events);
+        [&log](replica_id, std::string bytes) { log->receive(std::move(bytes)); }, events);
     replica_member_control members(*log);
     {
         const control_instance instance(loaded, *log, state, hub, clock, events, metrics, tracer,
--- a/src/cli/signals.cc
+++ b/src/cli/signals.cc
@@ -1,5 +1,6 @@
 #include "cli/signals.h"
 
+#include <algorithm>
 #include <csignal>
 
 #include <unistd.h>
@@ -17,8 +18,35 @@
     return set;
 }
 
+sigset_t allSignals()
+{
+    sigset_t set = stopSignals();
+    sigaddset(&set, SIGHUP);
+    return set;
+}
+
+timespec toTimespec(std::chrono::milliseconds time)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+    return {seconds.count(), std::chrono::nanoseconds(time - seconds).count()};
+}
+
 } // namespace
 
+void blockSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t set = allSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+int waitForSignal(std::chrono::milliseconds limit)
+{
+    const sigset_t set = allSignals();
+    const timespec time = toTimespec(limit);
+    return std::max(0, sigtimedwait(&set, nullptr, &time));
+}
+
 void blockStopSignals()
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -42,8 +70,7 @@
 bool waitForStopSignal(std::chrono::milliseconds limit)
 {
     const sigset_t set = stopSignals();
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
-    const timespec time{seconds.count(), std::chrono::nanoseconds(limit - seconds).count()};
+    const timespec time = toTimespec(limit);
     return sigtimedwait(&set, nullptr, &time) > 0;
 }
 
--- a/src/cli/signals.h
+++ b/src/cli/signals.h
@@ -13,4 +13,9 @@
 // Waits at most `limit`; true if such a signal came.
 bool waitForStopSignal(std::chrono::milliseconds limit);
 
+// Like blockStopSignals(), for a process that also takes SIGHUP.
+void blockSignals();
+// Waits at most `limit` for SIGTERM, SIGINT or SIGHUP; returns its number, or 0.
+int waitForSignal(std::chrono::milliseconds limit);
+
 } // namespace buckthorngrade
--- /dev/null
+++ b/src/control/control_node.cc
@@ -0,0 +1,88 @@
+#include "control/control_node.h"
+
+#include "base/ipv4.h"
+#include "control/grpc_server.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr const char *clusterName = "buckthorngrade";
+// A leaving upstream must get nothing more within seconds of its mark in the list; every reading of
+// the list is paid for.
+constexpr std::chrono::milliseconds listPeriod{700};
+// Heartbeats come every 150 ms over links of at most 55 ms.
+constexpr std::chrono::milliseconds silenceLimit{1'200};
+
+std::string replicaAddress(const node_settings &settings, replica_id id)
+{
+    return fmt::format("{}:{}", ipv4ToString(id), settings.replicaPort());
+}
+
+peer_link::settings linkSettings(const node_settings &settings)
+{
+    peer_link::settings result;
+    result.cluster = clusterName;
+    result.self = ipv4FromString(settings.host);
+    result.addressOf = [settings](replica_id id) { return replicaAddress(settings, id); };
+    result.silenceLimit = silenceLimit;
+    return result;
+}
+
+replica_settings replicaSettings(const node_settings &settings)
+{
+    replica_settings result;
+    result.cluster = clusterName;
+    result.self = ipv4FromString(settings.host);
+    std::ranges::transform(settings.seedHosts, std::back_inserter(result.members), ipv4FromString);
+    result.folder = settings.dataFolder;
+    result.initialize = settings.isFirstStart
+        && std::ranges::find(result.members, result.self) != result.members.end();
+    result.keepsExisting = true;
+    result.automaticMembers = control_node::maxMembers;
+    return result;
+}
+
+} // namespace
+
+control_node::control_node(const node_settings &settings, const routing_codec &codec,
+                           listing_source &upstreamSource, const clock_source &clock,
+                           event_log &events, metric_registry &metrics,
+                           std::function<void(const std::string &)> onFailure)
+    : m_link(linkSettings(settings), events, metrics)
+    , m_replica(std::make_unique<replica>(replicaSettings(settings), m_files, m_state, m_link,
+                                          clock, events, metrics))
+    , m_deliver(
+          clusterName, ipv4FromString(settings.host),
+          [this](replica_id from, std::string bytes) {
+              m_link.received(from);
+              m_replica->receive(std::move(bytes));
+          },
+          events)
+    , m_lister(upstreamSource, *m_replica, clock, events, metrics)
+    , m_sync(*m_replica, m_state, m_lister, m_roster, clock)
+    , m_routing(*m_replica, m_state, codec, clock, events)
+    , m_server(startGrpcServer(replicaAddress(settings, ipv4FromString(settings.host)),
+                               {&m_deliver, &m_sync}))
+    , m_listDuty(
+          "upstream list", listPeriod, [this] { m_lister.run(); }, events)
+{
+    m_replica->start(std::move(onFailure));
+    metrics.gauge("buckthorngrade_is_leader", "",
+                  [this] { return m_replica->view().isLeader ? 1.0 : 0.0; });
+    metrics.gauge("buckthorngrade_routing_version", "",
+                  [this] { return static_cast<double>(m_state.routingVersion()); });
+}
+
+control_node::~control_node()
+{
+    m_replica->stop();
+    m_link.stop();
+    m_server->Shutdown(std::chrono::system_clock::now() + grpcStopLimit);
+}
+
+} // namespace buckthorngrade
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -99,6 +99,10 @@
         result.set_finished(finishRequest(command.finish()));
     else if (command.has_registration())
         result.set_registered(registerInstance(index, command.registration()));
+    else if (command.has_routing())
+        result.set_routing_version(putRouting(std::move(*command.mutable_routing())));
+    else if (command.has_evacuation())
+        result.set_evacuation_revision(setEvacuation(index, command.evacuation()));
     return result.SerializeAsString();
 }
 
@@ -508,6 +512,47 @@
     m_requestOrder.erase(order);
 }
 
+std::uint64_t control_state::putRouting(wire::put_routing routing)
+{
+    if (routing.version() > m_routing.version()
+        && routing.text().size() <= m_limits.maxRoutingBytes)
+        m_routing = std::move(routing);
+    return m_routing.version();
+}
+
+std::uint64_t control_state::setEvacuation(log_index index, const wire::set_evacuation &change)
+{
+    const std::string &domain = change.failure_domain();
+    const bool isChange = m_evacuations.domains.contains(domain) != change.active();
+    if (domain.empty() || domain.size() > maxNameBytes || !isChange
+        || (change.active() && m_evacuations.domains.size() >= m_limits.maxEvacuations))
+        return m_evacuations.revision;
+    if (change.active())
+        m_evacuations.domains.insert(domain);
+    else
+        m_evacuations.domains.erase(domain);
+    m_evacuations.revision = index;
+    return index;
+}
+
+wire::put_routing control_state::routing() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_routing;
+}
+
+std::uint64_t control_state::routingVersion() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_routing.version();
+}
+
+control_state::evacuations control_state::evacuated() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_evacuations;
+}
+
 void control_state::rememberEdit(const wire::edit &edit, std::uint64_t digest,
                                  const wire::edit_outcome &outcome)
 {
@@ -568,6 +613,10 @@
     for (const auto &[name, record] : m_instances)
         *all.add_instances() = record;
     all.set_instances_version(m_instancesVersion);
+    *all.mutable_routing() = m_routing;
+    for (const std::string &domain : m_evacuations.domains)
+        all.add_evacuated(domain);
+    all.set_evacuation_revision(m_evacuations.revision);
     for (const auto &[key, instance, incarnation, attempt] : m_withdrawnOrder) {
         wire::withdrawn_request &withdrawn = *all.add_withdrawn();
         withdrawn.set_service(key.first);
@@ -612,6 +661,8 @@
         m_configBytes += drain.ByteSizeLong();
     }
     m_instancesVersion = all.instances_version();
+    m_routing = all.routing();
+    m_evacuations = {all.evacuation_revision(), {all.evacuated().begin(), all.evacuated().end()}};
     for (const auto &record : all.instances())
         m_instances[record.registered().instance()] = record;
     for (const auto &withdrawn : all.withdrawn()) {
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -53,6 +53,8 @@
     // Of current versions and drains; a subscriber gets them in one message of at most 4 MB.
     std::size_t maxConfigBytes = 3U << 20;
     std::size_t maxInstances = 10'000;
+    std::size_t maxRoutingBytes = 2U << 20; // of one routing document
+    std::size_t maxEvacuations = 1'000;
     // A removed instance may still use its reserved seats until it hears of its removal or ends,
     // so its position stays unused for this long.
     std::chrono::milliseconds positionHold = std::chrono::minutes(10);
@@ -94,6 +96,16 @@
     };
     request_counts requestCounts() const;
 
+    // The routing document in force; version 0: none was accepted.
+    wire::put_routing routing() const;
+    std::uint64_t routingVersion() const;
+    struct evacuations
+    {
+        std::uint64_t revision = 0; // log index of the last change
+        std::set<std::string> domains;
+    };
+    evacuations evacuated() const;
+
 private:
     using request_key = std::pair<std::string, std::string>; // service, key
 
@@ -114,6 +126,8 @@
     void eraseRequest(std::uint64_t index);
     bool makeHistoryRoom(std::size_t bytes);
     bool finishRequest(const wire::finish_request &finish);
+    std::uint64_t putRouting(wire::put_routing routing);
+    std::uint64_t setEvacuation(log_index index, const wire::set_evacuation &change);
     void rememberEdit(const wire::edit &edit, std::uint64_t digest,
                       const wire::edit_outcome &outcome);
     void expire();
@@ -133,6 +147,8 @@
     std::deque<std::string> m_editOrder;
     std::map<std::string, wire::instance_record> m_instances;
     std::uint64_t m_instancesVersion = 0;
+    wire::put_routing m_routing;
+    evacuations m_evacuations;
     std::map<request_key, wire::request_record> m_requests;
     std::map<std::uint64_t, request_key> m_requestOrder; // by record's log index
     using withdrawn_attempt = std::tuple<request_key, std::string, std::uint64_t, std::uint64_t>;
--- /dev/null
+++ b/src/control/node_roster.cc
@@ -0,0 +1,56 @@
+#include "control/node_roster.h"
+
+#include <utility>
+
+namespace buckthorngrade {
+
+void node_roster::update(const wire::node_report &report, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    record &known = m_records[report.instance()];
+    // A delayed report of an earlier process must not hide the present one.
+    if (report.incarnation() < known.incarnation)
+        return;
+    known.incarnation = report.incarnation();
+    known.last = {report.instance(), report.entry_address(), report.region(),
+                  report.failure_domain(), report.ready() && !report.leaving()};
+    known.loads.assign(report.loads().begin(), report.loads().end());
+    known.heardAt = now;
+    std::erase_if(m_records,
+                  [&](const auto &item) { return now - item.second.heardAt > forgetAfter; });
+}
+
+std::vector<node_roster::entry> node_roster::live(steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<entry> result;
+    for (const auto &[name, known] : m_records)
+        if (now - known.heardAt <= silenceLimit)
+            result.push_back(known.last);
+    return result;
+}
+
+std::vector<wire::region_load> node_roster::loads(steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::pair<std::string, std::string>, std::pair<double, int>> sums;
+    for (const auto &[name, known] : m_records) {
+        if (now - known.heardAt > silenceLimit)
+            continue;
+        for (const wire::region_load &load : known.loads) {
+            auto &[sum, count] = sums[{load.service(), load.region()}];
+            sum += load.utilization();
+            ++count;
+        }
+    }
+    std::vector<wire::region_load> result;
+    for (const auto &[key, total] : sums) {
+        wire::region_load &load = result.emplace_back();
+        load.set_service(key.first);
+        load.set_region(key.second);
+        load.set_utilization(total.first / total.second);
+    }
+    return result;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/node_sync_service.cc
@@ -0,0 +1,72 @@
+#include "control/node_sync_service.h"
+
+namespace buckthorngrade {
+
+node_sync_service::node_sync_service(const replica &log, const control_state &state,
+                                     const upstream_lister &lister, node_roster &roster,
+                                     const clock_source &clock)
+    : m_log(log)
+    , m_state(state)
+    , m_lister(lister)
+    , m_roster(roster)
+    , m_clock(clock)
+{ }
+
+grpc::Status node_sync_service::Sync(grpc::ServerContext *, const wire::node_report *report,
+                                     wire::node_view *view)
+{
+    const steady_time now = m_clock.now();
+    m_roster.update(*report, now);
+    const role_view role = m_log.view();
+    view->set_replica(role.self);
+    view->set_has_leader(role.isLeader ? role.isConnected : role.leader != 0 && role.isConnected);
+    for (const member_status &member : m_log.membership().members)
+        if (member.voter)
+            view->add_voters(member.id);
+    view->set_routing_version(m_state.routingVersion());
+    if (report->wants_routing() && view->routing_version() > report->routing_version()) {
+        wire::put_routing routing = m_state.routing();
+        view->set_routing_version(routing.version());
+        view->set_routing_text(std::move(*routing.mutable_text()));
+    }
+    const control_state::evacuations evacuated = m_state.evacuated();
+    view->set_evacuation_revision(evacuated.revision);
+    if (evacuated.revision != report->evacuation_revision())
+        for (const std::string &domain : evacuated.domains)
+            view->add_evacuated(domain);
+    for (const node_roster::entry &entry : m_roster.live(now)) {
+        wire::node_entry &added = *view->add_entries();
+        added.set_instance(entry.instance);
+        added.set_region(entry.region);
+    }
+    for (wire::region_load &load : m_roster.loads(now))
+        *view->add_loads() = std::move(load);
+    addListing(*report, *view);
+    return grpc::Status::OK;
+}
+
+void node_sync_service::addListing(const wire::node_report &report, wire::node_view &view) const
+{
+    const upstream_lister::held_listing held = m_lister.current();
+    if (!held.listing)
+        return;
+    view.set_listing_digest(held.digest);
+    view.set_listing_age_ms(
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - held.listing->readAt)
+            .count());
+    if (held.digest == report.listing_digest())
+        return;
+    for (const listed_upstream &upstream : held.listing->upstreams) {
+        wire::node_upstream &added = *view.add_upstreams();
+        added.set_id(upstream.id);
+        added.set_service(upstream.service);
+        added.set_address(upstream.address);
+        added.set_failure_domain(upstream.failureDomain);
+        added.set_slots(upstream.slots);
+        added.set_draining(upstream.isDraining);
+        added.set_cold_ms(upstream.coldFor.count());
+        added.set_started_ms(upstream.startedMs);
+    }
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/control/node_sync_service.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "agreement/replica.h"
+#include "base/clock.h"
+#include "control/control_state.h"
+#include "control/node_roster.h"
+#include "control/upstream_lister.h"
+#include "link.grpc.pb.h"
+
+namespace buckthorngrade {
+
+// Serves node_link.Sync: takes what an entry instance reports of itself and answers with what it
+// does not know yet.
+class node_sync_service final : public wire::node_link::Service
+{
+public:
+    // All references must outlive this.
+    node_sync_service(const replica &log, const control_state &state, const upstream_lister &lister,
+                      node_roster &roster, const clock_source &clock);
+
+    grpc::Status Sync(grpc::ServerContext *context, const wire::node_report *report,
+                      wire::node_view *view) override;
+
+private:
+    void addListing(const wire::node_report &report, wire::node_view &view) const;
+
+    const replica &m_log;
+    const control_state &m_state;
+    const upstream_lister &m_lister;
+    node_roster &m_roster;
+    const clock_source &m_clock;
+};
+
+} // namespace buckthorngrade
--- a/src/control/peer_link.cc
+++ b/src/control/peer_link.cc
@@ -1,6 +1,7 @@
 #include "control/peer_link.h"
 
 #include "base/bounded_ring.h"
+#include "base/clock.h"
 
 #include <algorithm>
 #include <mutex>
@@ -23,6 +24,9 @@
 constexpr int keepAliveMs = 5'000;
 constexpr int keepAliveTimeoutMs = 2'000;
 constexpr int minBackoffMs = 100;
+// gRPC gives an attempt to connect at least this long: three round trips between regions 55 ms
+// apart and a repeated packet.
+constexpr int minConnectMs = 700;
 constexpr int maxBackoffMs = 1'000;
 
 std::shared_ptr<grpc::Channel> openChannel(const std::string &address)
@@ -34,8 +38,10 @@
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepAliveTimeoutMs);
     arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, minBackoffMs);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, minBackoffMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, minConnectMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, maxBackoffMs);
+    // A channel that replaces a silent one must not share its connection.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
 }
 
@@ -74,8 +80,10 @@
 
     replica_id id;
     std::string address;
+    bool isSilent = false; // the last stream ended for silence; used by the peer's thread
     bounded_ring<std::string> ring;
     std::atomic<std::size_t> waitingBytes = 0;
+    std::atomic<steady_time> lastReceived = steady_time::min();
     std::mutex mutex;
     grpc::ClientContext *context = nullptr;
     std::thread thread;
@@ -88,9 +96,32 @@
 {
     for (const auto &[id, address] : m_settings.addresses)
         if (id != m_settings.self)
-            m_peers[id] = std::make_unique<peer>(id, address, m_settings.ringItems);
-    for (const auto &[id, to] : m_peers)
-        to->thread = std::thread([this, &target = *to] { run(target); });
+            addPeer(id, address);
+}
+
+peer_link::peer &peer_link::addPeer(replica_id id, const std::string &address)
+{
+    std::unique_ptr<peer> &added = m_peers[id];
+    added = std::make_unique<peer>(id, address, m_settings.ringItems);
+    added->thread = std::thread([this, &target = *added] { run(target); });
+    return *added;
+}
+
+peer_link::peer *peer_link::findPeer(replica_id id)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto found = m_peers.find(id); found != m_peers.end())
+        return found->second.get();
+    if (!m_settings.addressOf || id == m_settings.self || m_stopping
+        || m_peers.size() >= m_settings.maxPeers)
+        return nullptr;
+    return &addPeer(id, m_settings.addressOf(id));
+}
+
+void peer_link::received(replica_id from)
+{
+    if (peer *sender = findPeer(from))
+        sender->lastReceived = std::chrono::steady_clock::now();
 }
 
 peer_link::~peer_link()
@@ -100,7 +131,10 @@
 
 void peer_link::stop()
 {
-    m_stopping = true;
+    {
+        const std::lock_guard lock(m_mutex); // no peer is added from here on
+        m_stopping = true;
+    }
     for (const auto &[id, to] : m_peers) {
         to->ring.close();
         to->cancel();
@@ -112,13 +146,13 @@
 
 void peer_link::send(replica_id to, std::string bytes)
 {
-    const auto found = m_peers.find(to);
+    peer *found = findPeer(to);
     const std::size_t size = bytes.size();
-    if (found == m_peers.end() || size > maxPayloadBytes) {
+    if (found == nullptr || size > maxPayloadBytes) {
         m_dropped.add();
         return;
     }
-    peer &target = *found->second;
+    peer &target = *found;
     if (target.waitingBytes.fetch_add(size) + size <= m_settings.ringBytes
         && target.ring.tryPush(std::move(bytes)))
         return;
@@ -128,10 +162,15 @@
 
 void peer_link::run(peer &to)
 {
-    const std::shared_ptr<grpc::Channel> channel = openChannel(to.address);
-    const auto stub = wire::replica_link::NewStub(channel);
+    std::shared_ptr<grpc::Channel> channel = openChannel(to.address);
+    auto stub = wire::replica_link::NewStub(channel);
     std::chrono::milliseconds delay = m_settings.firstDelay;
     while (!m_stopping) {
+        if (to.isSilent) {
+            channel = openChannel(to.address);
+            stub = wire::replica_link::NewStub(channel);
+            to.isSilent = false;
+        }
         if (!channel->WaitForConnected(std::chrono::system_clock::now() + connectTimeout)) {
             discardWaiting(to, std::chrono::milliseconds(0));
             continue;
@@ -156,7 +195,14 @@
     envelope.set_from(m_settings.self);
     envelope.set_to(to.id);
     std::uint64_t sent = 0;
+    const steady_time opened = std::chrono::steady_clock::now();
     for (bool works = true; works && !m_stopping;) {
+        if (m_settings.silenceLimit.count() > 0 && sent > 0
+            && std::chrono::steady_clock::now() - std::max(opened, to.lastReceived.load())
+                > m_settings.silenceLimit) {
+            to.isSilent = true;
+            break;
+        }
         std::optional<std::string> bytes = to.pop(popTimeout);
         if (!bytes)
             continue;
@@ -191,7 +237,8 @@
 }
 
 peer_link_service::peer_link_service(std::string cluster, replica_id self,
-                                     std::function<void(std::string)> receive, event_log &events)
+                                     std::function<void(replica_id, std::string)> receive,
+                                     event_log &events)
     : m_cluster(std::move(cluster))
     , m_self(self)
     , m_receive(std::move(receive))
@@ -212,7 +259,7 @@
             return {grpc::StatusCode::FAILED_PRECONDITION,
                     "the stream is for another cluster or replica"};
         }
-        m_receive(std::move(*envelope.mutable_payload()));
+        m_receive(envelope.from(), std::move(*envelope.mutable_payload()));
     }
     return grpc::Status::OK;
 }
--- a/src/control/peer_link.h
+++ b/src/control/peer_link.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace buckthorngrade {
@@ -28,6 +29,12 @@
         std::string cluster;
         replica_id self = 0;
         std::map<replica_id, std::string> addresses; // "IP:port" of all replicas; self is ignored
+        // Address of a replica that is not in `addresses`; empty: there are no others.
+        std::function<std::string(replica_id)> addressOf;
+        std::size_t maxPeers = 64; // with addressOf; messages to further replicas are dropped
+        // A stream is opened anew on another connection if nothing came from its peer for so long
+        // while messages were sent to it; 0: never. Noticed by received().
+        std::chrono::milliseconds silenceLimit{0};
         std::size_t ringItems = 4'096; // messages that wait for a peer
         std::size_t ringBytes = 16U << 20; // their payloads
         std::chrono::milliseconds firstDelay{100}; // before a stream is opened again
@@ -41,11 +48,15 @@
     peer_link &operator=(const peer_link &) = delete;
 
     void send(replica_id to, std::string bytes) override;
+    // A message came from `from`, by whatever connection. Thread-safe.
+    void received(replica_id from);
     // Ends all streams. Idempotent.
     void stop();
 
 private:
     struct peer;
+    peer *findPeer(replica_id id);
+    peer &addPeer(replica_id id, const std::string &address);
     void run(peer &to);
     // Sends until the stream fails or the link stops; returns true if anything was sent.
     bool runStream(peer &to, wire::replica_link::Stub &stub);
@@ -55,6 +66,7 @@
     event_log &m_events;
     metric_counter &m_dropped;
     std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex; // of m_peers
     std::map<replica_id, std::unique_ptr<peer>> m_peers;
 };
 
@@ -64,8 +76,9 @@
 class peer_link_service final : public wire::replica_link::Service
 {
 public:
+    // `receive` gets the sender and the payload.
     peer_link_service(std::string cluster, replica_id self,
-                      std::function<void(std::string)> receive, event_log &events);
+                      std::function<void(replica_id, std::string)> receive, event_log &events);
 
     grpc::Status Deliver(grpc::ServerContext *context, grpc::ServerReader<wire::envelope> *reader,
                          wire::deliver_end *response) override;
@@ -73,7 +86,7 @@
 private:
     std::string m_cluster;
     replica_id m_self;
-    std::function<void(std::string)> m_receive;
+    std::function<void(replica_id, std::string)> m_receive;
     event_log &m_events;
 };
 
--- /dev/null
+++ b/src/control/routing_service.cc
@@ -0,0 +1,103 @@
+#include "control/routing_service.h"
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+routing_service::routing_service(replicator &log, control_state &state, const routing_codec &codec,
+                                 const clock_source &clock, event_log &events)
+    : m_log(log)
+    , m_state(state)
+    , m_codec(codec)
+    , m_clock(clock)
+    , m_events(events)
+{ }
+
+// Where an order belongs: nowhere else if this instance leads.
+order_result routing_service::atLeader() const
+{
+    const role_view view = m_log.view();
+    order_result result;
+    if (view.isLeader)
+        result.outcome = order_result::status::accepted;
+    else if (view.leader != 0 && view.isConnected) {
+        result.outcome = order_result::status::elsewhere;
+        result.leader = view.leader;
+    } else
+        result.detail = "no leader is known";
+    return result;
+}
+
+order_result routing_service::submit(const wire::command &command, std::string_view what)
+{
+    order_result result = atLeader();
+    if (result.outcome != order_result::status::accepted)
+        return result;
+    const submit_result submitted = m_log.submit(command.SerializeAsString(), orderTimeout).get();
+    if (submitted.outcome == submit_result::status::applied)
+        return result;
+    result.outcome = order_result::status::unavailable;
+    if (submitted.outcome == submit_result::status::not_accepted && submitted.leader != 0
+        && submitted.leader != m_log.view().self) {
+        result.outcome = order_result::status::elsewhere;
+        result.leader = submitted.leader;
+    }
+    result.detail = submitted.outcome == submit_result::status::unknown
+        ? "not committed in time; it may still be"
+        : "not accepted by this instance";
+    m_events.write(event_id::order_unavailable, {{"order", what}, {"reason", result.detail}});
+    return result;
+}
+
+order_result routing_service::putRouting(std::string_view text)
+{
+    std::uint64_t version = 0;
+    try {
+        const routing_document document = m_codec.decode(text);
+        checkRouting(document);
+        version = document.version;
+    } catch (const settings_error &failure) {
+        m_events.write(event_id::routing_rejected, {{"reason", failure.what()}});
+        return {order_result::status::invalid, failure.what(), 0};
+    }
+    // What is applied here is committed, so an older version needs no new entry of the log.
+    if (version <= m_state.routingVersion())
+        return {order_result::status::accepted, "not above the version in force", 0};
+    wire::command command;
+    command.mutable_routing()->set_version(version);
+    command.mutable_routing()->set_text(std::string(text));
+    const order_result result = submit(command, "routing");
+    if (result.outcome == order_result::status::accepted)
+        m_events.write(event_id::routing_accepted,
+                       {{"version", version}, {"in_force", m_state.routingVersion()}});
+    return result;
+}
+
+order_result routing_service::evacuate(const std::string &failureDomain, bool active)
+{
+    if (failureDomain.empty())
+        return {order_result::status::invalid, "no failure domain is named", 0};
+    wire::command command;
+    command.mutable_evacuation()->set_failure_domain(failureDomain);
+    command.mutable_evacuation()->set_active(active);
+    const order_result result = submit(command, "evacuation");
+    if (result.outcome == order_result::status::accepted)
+        m_events.write(event_id::evacuation_accepted,
+                       {{"domain", failureDomain}, {"active", active}});
+    return result;
+}
+
+routing_read routing_service::read()
+{
+    const order_result place = atLeader();
+    if (place.outcome != order_result::status::accepted)
+        return {place.outcome, place.leader, {}};
+    if (!m_log.confirmRead(orderTimeout).get())
+        return {};
+    const wire::put_routing routing = m_state.routing();
+    if (routing.version() == 0)
+        return {};
+    return {order_result::status::accepted, 0, routing.text()};
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/model/routing_document.cc
@@ -0,0 +1,54 @@
+#include "model/routing_document.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+void checkRoute(const route &route, const std::set<std::string> &services)
+{
+    const auto reject = [&](const std::string &fault) {
+        throw settings_error(fmt::format("route '{}': {}", route.name, fault));
+    };
+    if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'))
+        reject("the path prefix must begin and end with a slash");
+    if (route.timeout > maxRouteTimeout || route.timeout.count() < 0)
+        reject("the timeout is out of range");
+    if (route.services.empty())
+        reject("it names no service");
+    double total = 0;
+    for (const weighted_service &part : route.services) {
+        if (!services.contains(part.service))
+            reject(fmt::format("the service '{}' is unknown", part.service));
+        if (!std::isfinite(part.weight) || part.weight < 0)
+            reject("a weight is below 0");
+        total += part.weight;
+    }
+    if (total <= 0)
+        reject("the weights add up to 0");
+}
+
+} // namespace
+
+void checkRouting(const routing_document &document)
+{
+    std::set<std::string> services;
+    for (const routed_service &service : document.services)
+        if (!services.insert(service.name).second)
+            throw settings_error(fmt::format("the service '{}' is given twice", service.name));
+    std::set<std::pair<std::string, std::string>> places;
+    for (const route &route : document.routes) {
+        checkRoute(route, services);
+        if (!places.emplace(route.host, route.pathPrefix).second)
+            throw settings_error(
+                fmt::format("route '{}': another route has the same host and prefix", route.name));
+    }
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,167 @@
+#include "net/http_client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr int firstFinalStatus = 200;
+
+// The time in "Keep-Alive: timeout=N".
+std::optional<std::chrono::milliseconds> idleTimeOf(const http_head &head)
+{
+    const std::string value = head.get("Keep-Alive");
+    constexpr std::string_view key = "timeout=";
+    const auto start = value.find(key);
+    if (start == std::string::npos)
+        return std::nullopt;
+    std::int64_t seconds = 0;
+    const char *digits = value.data() + start + key.size();
+    const auto [end, failure] = std::from_chars(digits, value.data() + value.size(), seconds);
+    if (failure != std::errc() || seconds < 0)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+http_client::http_client(event_loop &loop, const socket_address &to, std::uint64_t maxResponseBytes)
+    : m_loop(loop)
+    , m_maxResponseBytes(maxResponseBytes)
+    , m_socket(loop, to)
+{
+    stream_socket::handlers handlers;
+    handlers.onInput = [this] { readInput(); };
+    handlers.onClosed = [this](close_reason reason) { handleClosed(reason); };
+    m_socket.setHandlers(std::move(handlers));
+}
+
+http_client::~http_client() = default;
+
+void http_client::start(call next)
+{
+    m_call = std::move(next);
+    m_response.reset();
+    m_decoder.reset();
+    m_isSkipping = false;
+    m_sentBefore = m_socket.sentBytes();
+    if (!m_socket.isOpen()) {
+        fail(call_failure::not_sent);
+        return;
+    }
+    m_socket.send(m_call->request);
+}
+
+void http_client::cancel()
+{
+    m_call.reset();
+    m_isReusable = false;
+    m_socket.close();
+}
+
+void http_client::readInput()
+{
+    if (!m_call) {
+        // Bytes without a call belong to nobody.
+        m_isReusable = false;
+        m_socket.close();
+        onIdleClosed();
+        return;
+    }
+    try {
+        while (m_call && !m_socket.input().empty()) {
+            if (!m_response && !readHead())
+                return;
+            const std::size_t used = m_decoder->decode(m_socket.input(), m_response->body);
+            m_socket.input().erase(0, used);
+            if (m_response->body.size() > m_maxResponseBytes) {
+                fail(call_failure::too_large);
+                return;
+            }
+            if (!m_decoder->isComplete())
+                return;
+            finish();
+        }
+    } catch (const http_error &) {
+        fail(call_failure::malformed);
+    }
+}
+
+bool http_client::readHead()
+{
+    const auto end = findHeadEnd(m_socket.input());
+    if (!end)
+        return false;
+    http_head head
+        = parseResponseHead(std::string_view(m_socket.input()).substr(0, *end), m_call->isHead);
+    m_socket.input().erase(0, *end);
+    if (head.status < firstFinalStatus)
+        return readHead();
+    m_isSkipping = m_call->matches && !m_call->matches(head);
+    if (m_isSkipping || !head.keepAlive || m_socket.hasUnsent())
+        m_isReusable = false;
+    if (const auto idle = idleTimeOf(head))
+        m_announcedIdle = idle;
+    m_decoder.emplace(head);
+    m_response.emplace(client_response{std::move(head), {}});
+    // A body without bytes is complete here.
+    if (m_decoder->isComplete() && m_socket.input().empty())
+        finish();
+    return m_response.has_value();
+}
+
+void http_client::finish()
+{
+    client_response response = std::move(*m_response);
+    m_response.reset();
+    if (m_isSkipping) {
+        m_isSkipping = false;
+        return;
+    }
+    if (!m_socket.input().empty())
+        m_isReusable = false;
+    const call ended = std::move(*m_call);
+    m_call.reset();
+    if (!m_isReusable)
+        m_socket.close();
+    ended.onResponse(std::move(response));
+}
+
+void http_client::fail(call_failure failure)
+{
+    m_isReusable = false;
+    m_socket.close();
+    if (!m_call)
+        return;
+    const call ended = std::move(*m_call);
+    m_call.reset();
+    ended.onFailure(failure);
+}
+
+void http_client::handleClosed(close_reason reason)
+{
+    if (!m_call) {
+        m_isReusable = false;
+        onIdleClosed();
+        return;
+    }
+    if (m_response && !m_isSkipping && reason == close_reason::ended
+        && m_decoder->endsWithConnection()) {
+        m_isReusable = false;
+        finish();
+        return;
+    }
+    if (!m_socket.isConnected())
+        fail(call_failure::not_connected);
+    else if (!hasSent())
+        fail(call_failure::not_sent);
+    else if (m_response && !m_isSkipping)
+        fail(call_failure::truncated);
+    else
+        fail(call_failure::no_response);
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "net/body_decoder.h"
+#include "net/stream_socket.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace buckthorngrade {
+
+struct client_response
+{
+    http_head head;
+    std::string body;
+};
+
+// How a call ended without a whole response.
+enum class call_failure {
+    not_connected, // nothing was sent
+    not_sent, // the connection was lost before a byte of the request was taken
+    no_response, // sent, at least in part, and no response began: it may have run
+    malformed, // bytes that are no response
+    truncated, // the response ended early
+    too_large, // larger than the bound
+};
+
+// One HTTP/1.1 connection to a server, for one call at a time. Responses are read whole. A response
+// whose identification differs from the call's is left over from an earlier call and skipped.
+class http_client
+{
+public:
+    struct call
+    {
+        std::string request; // head and body as they are sent
+        bool isHead = false;
+        // Returns whether a response belongs to this call; empty: all do.
+        std::function<bool(const http_head &)> matches;
+        std::function<void(client_response)> onResponse;
+        std::function<void(call_failure)> onFailure;
+    };
+
+    // Starts to connect. Throws net_error if there is no descriptor left.
+    http_client(event_loop &loop, const socket_address &to, std::uint64_t maxResponseBytes);
+    ~http_client();
+    http_client(const http_client &) = delete;
+    http_client &operator=(const http_client &) = delete;
+
+    // The connection must be idle. Exactly one of the callbacks is called, unless cancel() or the
+    // destructor comes first.
+    void start(call next);
+    // Ends the call, if there is one, and closes the connection.
+    void cancel();
+    bool isBusy() const { return m_call.has_value(); }
+    // A further call may be started: the connection stands, framing was clean, nothing is left
+    // over.
+    bool isReusable() const { return m_isReusable && m_socket.isOpen() && !m_call; }
+    bool isConnected() const { return m_socket.isConnected(); }
+    // A byte of the current call was handed to the kernel.
+    bool hasSent() const { return m_socket.sentBytes() > m_sentBefore; }
+    // When the server will close the idle connection, as far as it has said so.
+    std::optional<std::chrono::milliseconds> announcedIdle() const { return m_announcedIdle; }
+    // Called when the server closes the idle connection or sends something on it.
+    std::function<void()> onIdleClosed = [] {};
+
+private:
+    void readInput();
+    bool readHead();
+    void finish();
+    void fail(call_failure failure);
+    void handleClosed(close_reason reason);
+
+    event_loop &m_loop;
+    std::uint64_t m_maxResponseBytes;
+    stream_socket m_socket;
+    std::optional<call> m_call;
+    std::optional<client_response> m_response;
+    std::optional<body_decoder> m_decoder;
+    bool m_isSkipping = false; // the response being read belongs to an earlier call
+    std::uint64_t m_sentBefore = 0;
+    bool m_isReusable = true;
+    std::optional<std::chrono::milliseconds> m_announcedIdle;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/net/stream_socket.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "net/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace buckthorngrade {
+
+struct socket_address
+{
+    std::string host; // IPv4, dotted
+    std::uint16_t port = 0;
+
+    // Reads "IP:port"; throws net_error for anything else.
+    static socket_address parse(std::string_view text);
+    std::string toString() const;
+    auto operator<=>(const socket_address &) const = default;
+};
+
+enum class close_reason {
+    ended, // the peer sent everything and closed
+    failed, // reset, timed out or refused
+};
+
+// A non-blocking TCP connection on an event loop. Bytes that arrive are appended to input(); what
+// is sent is buffered until the peer takes it. Callbacks may close the connection, but must not
+// destroy it; use event_loop::post for that.
+class stream_socket final : private descriptor_watcher
+{
+public:
+    struct handlers
+    {
+        std::function<void()> onConnected = [] {};
+        std::function<void()> onInput = [] {}; // something was appended to input()
+        std::function<void(close_reason)> onClosed = [](close_reason) {}; // not after close()
+        std::function<void()> onSent = [] {}; // nothing is waiting to be sent any more
+    };
+
+    // Takes over an accepted descriptor.
+    stream_socket(event_loop &loop, int descriptor);
+    // Starts to connect. A failure to do so is reported to onClosed, from the loop.
+    stream_socket(event_loop &loop, const socket_address &to);
+    ~stream_socket() override;
+    stream_socket(const stream_socket &) = delete;
+    stream_socket &operator=(const stream_socket &) = delete;
+
+    void setHandlers(handlers callbacks) { m_handlers = std::move(callbacks); }
+    void send(std::string_view bytes);
+    std::string &input() { return m_input; }
+    const std::string &input() const { return m_input; }
+    bool isConnected() const { return m_isConnected; }
+    bool isOpen() const { return m_descriptor >= 0; }
+    bool hasUnsent() const { return !m_output.empty(); }
+    // Bytes handed to the kernel since the connection was opened.
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+    // While paused, bytes stay in the kernel; a close by the peer is still noticed.
+    void pauseReading(bool isPaused);
+    void close();
+    // Tells the peer that nothing more is sent; what it sends is still read.
+    void shutdownSending();
+    // Closes with a reset, so that the peer can't take what it got for complete.
+    void reset();
+    const std::string &peerHost() const { return m_peerHost; }
+
+private:
+    void descriptorReady(std::uint32_t events) override;
+    void readAvailable();
+    void writeWaiting();
+    void updateEvents();
+    void fail(close_reason reason);
+    void prepare();
+
+    event_loop &m_loop;
+    int m_descriptor;
+    bool m_isConnected;
+    bool m_isPaused = false;
+    std::uint32_t m_events = 0;
+    std::string m_input;
+    std::string m_output;
+    std::uint64_t m_sentBytes = 0;
+    std::string m_peerHost;
+    handlers m_handlers;
+};
+
+// Accepts connections on one address.
+class stream_listener final : private descriptor_watcher
+{
+public:
+    // Throws net_error if the address can't be bound.
+    stream_listener(event_loop &loop, const socket_address &address,
+                    std::function<void(int descriptor)> onAccepted);
+    ~stream_listener() override;
+    stream_listener(const stream_listener &) = delete;
+    stream_listener &operator=(const stream_listener &) = delete;
+
+    // With the real port.
+    const socket_address &address() const { return m_address; }
+    void close();
+
+private:
+    void descriptorReady(std::uint32_t events) override;
+
+    event_loop &m_loop;
+    int m_descriptor;
+    socket_address m_address;
+    std::function<void(int)> m_onAccepted;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/platform/control_api.cc
@@ -0,0 +1,136 @@
+#include "platform/control_api.h"
+
+#include "base/ipv4.h"
+#include "platform/wire_names.h"
+#include "steering/entry_directory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <Poco/URI.h>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr int temporaryRedirect = 307;
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+constexpr std::size_t maxAddresses = 64; // that a caller takes from one answer
+
+const http_fields jsonFields = {{"Content-Type", "application/json"}};
+
+void answerError(const exchange_pointer &exchange, int status, const std::string &reason)
+{
+    // The reason may quote an operator's malformed text.
+    const nlohmann::json body = {{"error", reason}};
+    exchange->respond(status, jsonFields,
+                      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+} // namespace
+
+control_api::control_api(event_loop &loop, const node_settings &settings, control_node &node,
+                         const clock_source &clock)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_node(node)
+    , m_clock(clock)
+{ }
+
+void control_api::answer(const exchange_pointer &exchange, order_result::status outcome,
+                         replica_id leader, const std::string &text) const
+{
+    switch (outcome) {
+    case order_result::status::accepted:
+        exchange->respond(ok, jsonFields, text);
+        return;
+    case order_result::status::invalid:
+        answerError(exchange, badRequest, text);
+        return;
+    case order_result::status::elsewhere:
+        exchange->respond(temporaryRedirect,
+                          {{"Location",
+                            fmt::format("http://{}:{}{}", ipv4ToString(leader),
+                                        m_settings.controlPort, exchange->head.target)}},
+                          "");
+        return;
+    case order_result::status::unavailable:
+        answerError(exchange, unavailable, text);
+        return;
+    }
+}
+
+void control_api::run(const exchange_pointer &exchange, std::function<order_result()> order)
+{
+    const bool isTaken = m_orders.tryPush([this, exchange, order = std::move(order)] {
+        const order_result result = order();
+        m_loop.post([this, exchange, result] {
+            answer(exchange, result.outcome, result.leader,
+                   result.outcome == order_result::status::accepted ? "{}" : result.detail);
+        });
+    });
+    if (!isTaken)
+        answerError(exchange, unavailable, "too many orders wait");
+}
+
+void control_api::handleOrder(const exchange_pointer &exchange)
+{
+    const std::string &method = exchange->head.method;
+    const std::string path = exchange->head.target.substr(0, exchange->head.target.find('?'));
+    routing_service &routing = m_node.routing();
+    if (path == platform_wire::configPath && method == "PUT") {
+        run(exchange, [&routing, exchange] { return routing.putRouting(exchange->body); });
+    } else if (path == platform_wire::configPath && method == "GET") {
+        const bool isTaken = m_orders.tryPush([this, &routing, exchange] {
+            const routing_read read = routing.read();
+            m_loop.post(
+                [this, exchange, read] { answer(exchange, read.outcome, read.leader, read.text); });
+        });
+        if (!isTaken)
+            answerError(exchange, unavailable, "too many orders wait");
+    } else if (path.starts_with(platform_wire::evacuationsPath)
+               && (method == "POST" || method == "DELETE")) {
+        std::string domain;
+        Poco::URI::decode(path.substr(std::string_view(platform_wire::evacuationsPath).size()),
+                          domain);
+        run(exchange, [&routing, domain, isStart = method == "POST"] {
+            return routing.evacuate(domain, isStart);
+        });
+    } else {
+        answerError(exchange, notFound, "no such call");
+    }
+}
+
+void control_api::handleLookup(const exchange_pointer &exchange) const
+{
+    const Poco::URI target(exchange->head.target);
+    if (target.getPath() != platform_wire::resolvePath) {
+        answerError(exchange, notFound, "no such call");
+        return;
+    }
+    std::string region;
+    std::string domain;
+    for (const auto &[name, value] : target.getQueryParameters()) {
+        if (name == "region")
+            region = value;
+        else if (name == "zone")
+            domain = value;
+    }
+    std::vector<directory_entry> entries;
+    for (const node_roster::entry &entry : m_node.roster().live(m_clock.now()))
+        entries.push_back({entry.address, entry.region, entry.failureDomain, entry.isReady});
+    const auto chosen = chooseEntries(entries, region, domain, maxAddresses);
+    if (chosen.empty()) {
+        answerError(exchange, unavailable, "no entry instance is ready");
+        return;
+    }
+    const nlohmann::json body = {
+        {"addresses", chosen}, {"ttl", fmt::format("{}ms", m_settings.directoryLifetime.count())}};
+    exchange->respond(ok, jsonFields, body.dump());
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/platform/json_values.cc
@@ -0,0 +1,86 @@
+#include "platform/json_values.h"
+
+#include <charconv>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+const nlohmann::json *findField(const nlohmann::json &object, const char *name)
+{
+    const auto found = object.find(name);
+    return found == object.end() || found->is_null() ? nullptr : &*found;
+}
+
+[[noreturn]] void rejectType(const char *name, const char *type)
+{
+    throw settings_error(fmt::format("'{}' must be {}", name, type));
+}
+
+} // namespace
+
+std::optional<std::chrono::milliseconds> parsePlatformTime(std::string_view text)
+{
+    double value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc() || !std::isfinite(value))
+        return std::nullopt;
+    const std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
+    constexpr double msPerSecond = 1000;
+    constexpr double longestMs = 1e12;
+    if (unit != "ms" && unit != "s")
+        return std::nullopt;
+    const double ms = unit == "s" ? value * msPerSecond : value;
+    if (std::abs(ms) > longestMs)
+        return std::nullopt;
+    return std::chrono::milliseconds(std::llround(ms));
+}
+
+std::chrono::milliseconds timeField(const nlohmann::json &object, const char *name,
+                                    std::chrono::milliseconds fallback)
+{
+    const nlohmann::json *field = findField(object, name);
+    if (field == nullptr)
+        return fallback;
+    if (!field->is_string())
+        rejectType(name, "a time");
+    const auto time = parsePlatformTime(field->get_ref<const std::string &>());
+    if (!time)
+        rejectType(name, "a time with its unit");
+    return *time;
+}
+
+double numberField(const nlohmann::json &object, const char *name, double fallback)
+{
+    const nlohmann::json *field = findField(object, name);
+    if (field == nullptr)
+        return fallback;
+    if (!field->is_number())
+        rejectType(name, "a number");
+    return field->get<double>();
+}
+
+std::string textField(const nlohmann::json &object, const char *name, const std::string &fallback)
+{
+    const nlohmann::json *field = findField(object, name);
+    if (field == nullptr)
+        return fallback;
+    if (!field->is_string())
+        rejectType(name, "a string");
+    return field->get<std::string>();
+}
+
+bool flagField(const nlohmann::json &object, const char *name, bool fallback)
+{
+    const nlohmann::json *field = findField(object, name);
+    if (field == nullptr)
+        return fallback;
+    if (!field->is_boolean())
+        rejectType(name, "true or false");
+    return field->get<bool>();
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/platform/platform_routing.cc
@@ -0,0 +1,140 @@
+#include "platform/platform_routing.h"
+
+#include "platform/json_values.h"
+
+#include <cmath>
+#include <functional>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+using nlohmann::json;
+
+// Calls `use` with each row of the table as an object of its columns.
+void forEachRow(const json &document, const char *name,
+                const std::function<void(const json &)> &use)
+{
+    const auto table = document.find(name);
+    if (table == document.end() || !table->is_object() || !table->contains("columns")
+        || !table->contains("rows") || !table->at("columns").is_array()
+        || !table->at("rows").is_array())
+        throw settings_error(fmt::format("'{}' must have columns and rows", name));
+    const json &columns = table->at("columns");
+    for (const json &row : table->at("rows")) {
+        if (!row.is_array() || row.size() != columns.size())
+            throw settings_error(fmt::format("a row of '{}' does not fit its columns", name));
+        json object = json::object();
+        for (std::size_t i = 0; i < columns.size(); ++i) {
+            if (!columns[i].is_string())
+                throw settings_error(fmt::format("a column of '{}' has no name", name));
+            object[columns[i].get_ref<const std::string &>()] = row[i];
+        }
+        use(object);
+    }
+}
+
+// "upload" means a large body; like every other kind it may run once at most.
+request_kind parseKind(const std::string &word)
+{
+    return word == "safe" ? request_kind::idempotent : request_kind::non_idempotent;
+}
+
+std::vector<weighted_service> parseServices(const json &row)
+{
+    std::vector<weighted_service> result;
+    const auto split = row.find("traffic_split");
+    if (split == row.end() || split->is_null()) {
+        const std::string service = textField(row, "service", "");
+        if (!service.empty())
+            result.push_back({service, 1});
+        return result;
+    }
+    if (!split->is_array())
+        throw settings_error("'traffic_split' must be a list");
+    for (const json &part : *split) {
+        if (!part.is_object())
+            throw settings_error("'traffic_split' must be a list of services with weights");
+        result.push_back({textField(part, "service", ""), numberField(part, "weight", 0)});
+    }
+    return result;
+}
+
+route parseRoute(const json &row)
+{
+    route result;
+    result.name = textField(row, "name", "");
+    result.host = textField(row, "host", "");
+    result.pathPrefix = textField(row, "path_prefix", "");
+    result.kind = parseKind(textField(row, "kind", ""));
+    result.timeout = timeField(row, "timeout", result.timeout);
+    result.latencyTarget = timeField(row, "target_latency", result.latencyTarget);
+    result.priority = static_cast<int>(numberField(row, "priority", 0));
+    result.services = parseServices(row);
+    result.maxAttempts
+        = static_cast<std::uint32_t>(std::max(1.0, numberField(row, "max_attempts", 1)));
+    result.hasAffinity = flagField(row, "sticky_sessions", false);
+    if (const auto homes = row.find("home_regions"); homes != row.end() && !homes->is_null()) {
+        if (!homes->is_array())
+            throw settings_error("'home_regions' must be a list");
+        for (const json &home : *homes) {
+            if (!home.is_string())
+                throw settings_error("'home_regions' must be a list of regions");
+            result.homeRegions.push_back(home.get<std::string>());
+        }
+    }
+    return result;
+}
+
+routed_service parseService(const json &row)
+{
+    routed_service result;
+    result.name = textField(row, "name", "");
+    result.healthPath = textField(row, "health_path", "");
+    result.maxConnections
+        = static_cast<std::uint32_t>(std::max(0.0, numberField(row, "max_conns", 0)));
+    result.coldPeriod = timeField(row, "cold_start", result.coldPeriod);
+    result.coldRate = numberField(row, "cold_per_s", 0);
+    return result;
+}
+
+request_limits parseLimits(const json &document)
+{
+    request_limits result;
+    const auto limits = document.find("limits");
+    if (limits == document.end() || limits->is_null())
+        return result;
+    if (!limits->is_object())
+        throw settings_error("'limits' must be an object");
+    result.maxHeaderBytes = static_cast<std::uint64_t>(
+        numberField(*limits, "max_header_bytes", static_cast<double>(result.maxHeaderBytes)));
+    result.maxBodyBytes = static_cast<std::uint64_t>(
+        numberField(*limits, "max_body_bytes", static_cast<double>(result.maxBodyBytes)));
+    result.headerTimeout = timeField(*limits, "header_timeout", result.headerTimeout);
+    result.idleTimeout = timeField(*limits, "idle_timeout", result.idleTimeout);
+    return result;
+}
+
+} // namespace
+
+routing_document platform_routing_codec::decode(std::string_view text) const
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object())
+        throw settings_error("the document is not a JSON object");
+    const auto version = document.find("version");
+    if (version == document.end() || !version->is_number_unsigned())
+        throw settings_error("'version' must be a whole number");
+    routing_document result;
+    result.version = version->get<std::uint64_t>();
+    forEachRow(document, "routes",
+               [&](const json &row) { result.routes.push_back(parseRoute(row)); });
+    forEachRow(document, "services",
+               [&](const json &row) { result.services.push_back(parseService(row)); });
+    result.limits = parseLimits(document);
+    return result;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/platform/platform_settings.cc
@@ -0,0 +1,116 @@
+#include "platform/platform_settings.h"
+
+#include "net/stream_socket.h"
+#include "platform/json_values.h"
+#include "platform/wire_names.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+using nlohmann::json;
+
+// An answer of the directory may not live longer than this, however long the platform allows:
+// callers go on using a stopped instance for as long.
+constexpr std::chrono::milliseconds longestDirectoryLifetime{2'000};
+
+json objectField(const json &object, const char *name)
+{
+    const auto found = object.find(name);
+    if (found == object.end() || found->is_null())
+        return json::object();
+    if (!found->is_object())
+        throw settings_error(fmt::format("'{}' must be an object", name));
+    return *found;
+}
+
+std::uint16_t portOf(const std::string &address)
+{
+    return address.empty() ? std::uint16_t{0} : socket_address::parse(address).port;
+}
+
+void readAddresses(const json &all, node_settings &result)
+{
+    const json listen = objectField(all, "listen");
+    result.entryAddress = textField(listen, "front", "");
+    result.readyAddress = textField(listen, "ready", "");
+    result.controlAddress = textField(listen, "control", "");
+    result.directoryAddress = textField(listen, "directory", "");
+    const auto ports = all.find("internal_ports");
+    if (ports == all.end() || !ports->is_array() || ports->empty()
+        || !ports->front().is_number_unsigned())
+        throw settings_error("'internal_ports' must be a list of two ports");
+    result.firstInternalPort = ports->front().get<std::uint16_t>();
+    result.controlPort = portOf(result.controlAddress);
+    const auto seeds = all.find("seeds");
+    if (seeds == all.end() || !seeds->is_array())
+        throw settings_error("'seeds' must be a list of addresses");
+    for (const json &seed : *seeds) {
+        if (!seed.is_string())
+            throw settings_error("'seeds' must be a list of addresses");
+        const auto address = socket_address::parse(seed.get<std::string>());
+        result.seedHosts.push_back(address.host);
+        result.controlPort = address.port;
+    }
+}
+
+void readBounds(const json &all, node_settings &result)
+{
+    const json bounds = objectField(all, "bounds");
+    result.stopLimit = timeField(bounds, "grace", result.stopLimit);
+    result.directoryLifetime = std::min(longestDirectoryLifetime,
+                                        timeField(bounds, "ttl_max", result.directoryLifetime));
+    result.retryShare = numberField(bounds, "retry_budget_ratio", result.retryShare);
+    result.retryWindow = timeField(bounds, "budget_window", result.retryWindow);
+    result.retryAllowance = numberField(bounds, "retry_budget_slack", result.retryAllowance);
+    result.coldOverage = numberField(bounds, "cold_overage", result.coldOverage);
+    result.coldAllowance = numberField(bounds, "cold_slack", result.coldAllowance);
+    result.regionShift = numberField(bounds, "max_region_shift", result.regionShift);
+}
+
+} // namespace
+
+node_settings parsePlatformSettings(std::string_view text)
+{
+    const json all = json::parse(text, nullptr, false);
+    if (!all.is_object())
+        throw settings_error("the settings are not a JSON object");
+    node_settings result;
+    try {
+        result.name = textField(all, "node_name", "");
+        result.host = textField(all, "ip", "");
+        result.failureDomain = textField(all, "zone", "");
+        result.region = textField(all, "region", "");
+        const json zones = objectField(all, "zones");
+        for (const auto &[zone, region] : zones.items())
+            result.regionOfDomain[zone] = region.is_string() ? region.get<std::string>() : "";
+        readAddresses(all, result);
+        readBounds(all, result);
+        result.isFirstStart = flagField(all, "bootstrap", false);
+        result.dataFolder = textField(all, "data_dir", "");
+        const json list = objectField(all, "cloud");
+        result.listAddress = textField(list, "address", "");
+        result.listCallsPerSecond = numberField(list, "rate_per_s", result.listCallsPerSecond);
+    } catch (const net_error &failure) {
+        throw settings_error(failure.what());
+    }
+    if (result.name.empty() || result.host.empty())
+        throw settings_error("'node_name' and 'ip' must be given");
+    return result;
+}
+
+std::string platformSettingsPath()
+{
+    const char *path = std::getenv(platform_wire::settingsVariable);
+    if (path == nullptr || *path == '\0')
+        throw settings_error(fmt::format("{} is not set; it names the settings file",
+                                         platform_wire::settingsVariable));
+    return path;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/cold_gate.cc
@@ -0,0 +1,53 @@
+#include "steering/cold_gate.h"
+
+#include "steering/upstream_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace buckthorngrade {
+
+namespace {
+
+// Part of the bound that is handed out; the rest covers instances with another view.
+constexpr double usedPart = 0.9;
+
+} // namespace
+
+std::uint32_t coldShare(const std::vector<peer_instance> &instances, std::string_view self,
+                        std::string_view upstream, std::string_view upstreamRegion,
+                        double perSecond)
+{
+    const auto seats = static_cast<std::size_t>(std::max(0.0, std::floor(perSecond * usedPart)));
+    const std::uint64_t upstreamHash = hashOf(upstream);
+    const auto keyOf = [&](const peer_instance &instance) {
+        return std::tuple(instance.region != upstreamRegion,
+                          combineHashes(hashOf(instance.name), upstreamHash), instance.name);
+    };
+    const auto own = std::ranges::find(instances, self, &peer_instance::name);
+    if (own == instances.end() || seats == 0)
+        return 0;
+    const auto ownKey = keyOf(*own);
+    const auto before = static_cast<std::size_t>(std::ranges::count_if(
+        instances, [&](const peer_instance &other) { return keyOf(other) < ownKey; }));
+    if (before >= seats)
+        return 0;
+    return static_cast<std::uint32_t>(seats / std::min(instances.size(), seats));
+}
+
+bool cold_gate::isOpen(steady_time now, std::uint32_t share)
+{
+    std::erase_if(m_sent, [now](steady_time sent) { return now - sent >= coldInterval; });
+    return m_sent.size() < share;
+}
+
+bool cold_gate::tryTake(steady_time now, std::uint32_t share)
+{
+    if (!isOpen(now, share))
+        return false;
+    m_sent.push_back(now);
+    return true;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/region_share.cc
@@ -0,0 +1,135 @@
+#include "steering/region_share.h"
+
+#include "steering/upstream_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace buckthorngrade {
+
+namespace {
+
+// A region whose slots are a smaller part of all than this, relative to an even part, lets others
+// help from the start.
+constexpr double startingFactor = 2.0;
+constexpr double mostAtStart = 0.6;
+constexpr double mostInAll = 0.95;
+
+} // namespace
+
+region_share::region_share(std::string ownRegion, const limits &bounds)
+    : m_own(std::move(ownRegion))
+    , m_limits(bounds)
+{ }
+
+double region_share::total() const
+{
+    double sum = 0;
+    for (const auto &[region, share] : m_shares)
+        sum += share;
+    return sum;
+}
+
+// Spreads `total` over the other regions by their free slots.
+void region_share::spread(const std::map<std::string, region_state> &regions, double total)
+{
+    m_shares.clear();
+    double free = 0;
+    const auto freeOf = [](const region_state &state) {
+        return state.slots * std::max(0.05, 1 - state.utilization);
+    };
+    for (const auto &[region, state] : regions)
+        if (region != m_own && state.slots > 0)
+            free += freeOf(state);
+    if (free <= 0)
+        return;
+    for (const auto &[region, state] : regions)
+        if (region != m_own && state.slots > 0)
+            m_shares[region] = total * freeOf(state) / free;
+}
+
+void region_share::start(const std::map<std::string, region_state> &regions)
+{
+    double slots = 0;
+    for (const auto &[region, state] : regions)
+        slots += state.slots;
+    if (slots <= 0)
+        return;
+    m_isStarted = true;
+    const double part = regions.at(m_own).slots / slots * static_cast<double>(regions.size());
+    spread(regions, std::clamp(1 - startingFactor * part, 0.0, mostAtStart));
+}
+
+bool region_share::update(const std::map<std::string, region_state> &regions, steady_time now)
+{
+    const auto own = regions.find(m_own);
+    if (own == regions.end() || own->second.slots <= 0) {
+        const bool isNew = !m_isForced;
+        m_isForced = true;
+        m_isStarted = true;
+        if (isNew || m_shares.empty())
+            spread(regions, 1);
+        return isNew;
+    }
+    if (m_isForced || !m_isStarted) {
+        m_isForced = false;
+        m_changedAt = now;
+        start(regions);
+        return m_isStarted;
+    }
+    if (now - m_changedAt < interval)
+        return false;
+    m_changedAt = now;
+    const double ownUse = own->second.utilization;
+    const auto isUsable
+        = [&](const auto &item) { return item.first != m_own && item.second.slots > 0; };
+    const std::pair<const std::string, region_state> *least = nullptr;
+    const std::pair<const std::string, region_state> *most = nullptr;
+    for (const auto &item : regions) {
+        if (!isUsable(item))
+            continue;
+        if (least == nullptr || item.second.utilization < least->second.utilization)
+            least = &item;
+        const auto share = m_shares.find(item.first);
+        if (share != m_shares.end() && share->second > 0
+            && (most == nullptr || item.second.utilization > most->second.utilization))
+            most = &item;
+    }
+    std::erase_if(m_shares, [&](const auto &item) {
+        const auto found = regions.find(item.first);
+        return found == regions.end() || found->second.slots <= 0;
+    });
+    if (least != nullptr && ownUse > m_limits.highUtilization
+        && least->second.utilization < ownUse - m_limits.least && total() < mostInAll) {
+        m_shares[least->first] += m_limits.step;
+        return true;
+    }
+    if (most != nullptr
+        && (ownUse < m_limits.lowUtilization
+            || most->second.utilization > ownUse + m_limits.least)) {
+        double &share = m_shares[most->first];
+        share = std::max(0.0, share - m_limits.step);
+        return true;
+    }
+    return false;
+}
+
+const std::string &region_share::choose(std::uint64_t hash) const
+{
+    const auto scoreOf = [hash](const std::string &region, double share) {
+        return -share / std::log(unitOf(combineHashes(hashOf(region), hash)));
+    };
+    const std::string *best = &m_own;
+    double bestScore = scoreOf(m_own, std::max(0.0, 1 - total()));
+    for (const auto &[region, share] : m_shares) {
+        const double score = scoreOf(region, share);
+        if (score > bestScore) {
+            best = &region;
+            bestScore = score;
+        }
+    }
+    return *best;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/region_share.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace buckthorngrade {
+
+// State of a service in one region, for the choice of regions.
+struct region_state
+{
+    double slots = 0; // of usable upstreams
+    double utilization = 0; // requests running and waiting, for each slot
+};
+
+// Which share of one region's requests to a service other regions serve.
+//
+// The share starts from the slots of the regions and then follows their utilization, by at most
+// `step` in an interval: the callers' region may change only so fast, because a fast shift meets
+// cold upstreams and overshoots on measurements that lag. Only the loss of all upstreams in the own
+// region moves everything at once. Which requests leave is decided by a hash of their object, so
+// that an object moves once and stays.
+class region_share
+{
+public:
+    static constexpr std::chrono::milliseconds interval{2'000};
+
+    struct limits
+    {
+        double step = 0.05; // share of requests that may change region in an interval
+        double highUtilization = 0.8; // of the own region, above which others help
+        double lowUtilization = 0.55; // of the own region, below which it takes requests back
+        double least = 0.15; // difference of utilization that makes a move worthwhile
+    };
+
+    region_share(std::string ownRegion, const limits &bounds);
+
+    // Called often with the present state of all regions. Returns true if the shares changed.
+    bool update(const std::map<std::string, region_state> &regions, steady_time now);
+    // Region for a request with the hash of its object, or with random bits. A change of a share
+    // moves only as many objects as it must (weighted rendezvous hashing).
+    const std::string &choose(std::uint64_t hash) const;
+    // Share of each other region.
+    const std::map<std::string, double> &shares() const { return m_shares; }
+
+private:
+    void start(const std::map<std::string, region_state> &regions);
+    void spread(const std::map<std::string, region_state> &regions, double total);
+    double total() const;
+
+    std::string m_own;
+    limits m_limits;
+    std::map<std::string, double> m_shares; // of other regions; the rest stays
+    bool m_isStarted = false;
+    bool m_isForced = false; // the own region has no upstream
+    steady_time m_changedAt;
+};
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/retry_budget.cc
@@ -0,0 +1,36 @@
+#include "steering/retry_budget.h"
+
+#include <algorithm>
+
+namespace buckthorngrade {
+
+retry_budget::retry_budget(const limits &bounds)
+    : m_limits(bounds)
+{ }
+
+void retry_budget::expire(steady_time now)
+{
+    for (std::deque<steady_time> *times : {&m_requests, &m_repeats})
+        while (!times->empty() && now - times->front() >= m_limits.window)
+            times->pop_front();
+}
+
+void retry_budget::recordRequest(steady_time now)
+{
+    expire(now);
+    m_requests.push_back(now);
+}
+
+bool retry_budget::tryTake(steady_time now, std::size_t instances)
+{
+    expire(now);
+    const double own
+        = m_limits.allowance / static_cast<double>(std::max<std::size_t>(instances, 1));
+    const double bound = margin * (m_limits.share * static_cast<double>(m_requests.size()) + own);
+    if (static_cast<double>(m_repeats.size()) + 1 > bound)
+        return false;
+    m_repeats.push_back(now);
+    return true;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/upstream_placement.cc
@@ -0,0 +1,89 @@
+#include "steering/upstream_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include <xxhash.h>
+
+namespace buckthorngrade {
+
+namespace {
+
+// Cost of an object that is not warm, as a share of its latency target. The second upstream of an
+// object is warm more often than the others, because it takes what the first one can't.
+constexpr double secondRankCost = 0.4;
+constexpr double laterRankCost = 0.7;
+// Cost of a failed attempt, as a multiple of the latency target.
+constexpr double failureCost = 2.0;
+
+// Weighted rendezvous hashing: the candidate with the highest score comes first.
+double scoreOf(const placement_candidate &candidate, std::uint64_t key)
+{
+    return -candidate.slots / std::log(unitOf(combineHashes(candidate.hash, key)));
+}
+
+} // namespace
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t combineHashes(std::uint64_t a, std::uint64_t b)
+{
+    const std::uint64_t both[2] = {a, b};
+    return XXH3_64bits(both, sizeof both);
+}
+
+double unitOf(std::uint64_t hash)
+{
+    constexpr unsigned unusedBits = 11; // a double has 53 bits of precision
+    return (static_cast<double>(hash >> unusedBits) + 0.5) * 0x1.0p-53;
+}
+
+double expectedMs(const placement_candidate &candidate, const placement_request &request,
+                  std::size_t rank)
+{
+    const double target = request.latencyTarget.count();
+    const double queued = std::max(0.0, candidate.load + 1 - candidate.slots);
+    const double wait = queued * candidate.serviceTime.count() / candidate.slots;
+    const double coldCost = !request.affinity ? 0
+        : rank == 0                           ? 0
+        : rank == 1                           ? secondRankCost * target
+                                              : laterRankCost * target;
+    return candidate.roundTrip.count() + wait + candidate.serviceTime.count() + coldCost
+        + candidate.failureShare * failureCost * target;
+}
+
+std::optional<std::size_t> placeRequest(std::span<const placement_candidate> candidates,
+                                        const placement_request &request)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    const std::uint64_t key = request.affinity.value_or(request.random);
+    std::vector<double> scores;
+    scores.reserve(candidates.size());
+    for (const placement_candidate &candidate : candidates)
+        scores.push_back(scoreOf(candidate, key));
+    const auto first = static_cast<std::size_t>(std::ranges::max_element(scores) - scores.begin());
+    std::size_t second = candidates.size();
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        if (i != first && (second == candidates.size() || scores[i] > scores[second]))
+            second = i;
+    std::size_t best = first;
+    double bestMs = expectedMs(candidates[first], request, 0);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (i == first)
+            continue;
+        const double cost = expectedMs(candidates[i], request, i == second ? 1 : 2);
+        // Equal candidates are taken in the order of their scores.
+        if (cost < bestMs || (cost == bestMs && scores[i] > scores[best])) {
+            best = i;
+            bestMs = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/upstream_placement.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace buckthorngrade {
+
+std::uint64_t hashOf(std::string_view text);
+std::uint64_t combineHashes(std::uint64_t a, std::uint64_t b);
+// Uniform in (0, 1).
+double unitOf(std::uint64_t hash);
+
+// What is known of an upstream at the moment of a choice.
+struct placement_candidate
+{
+    std::uint64_t hash = 0; // of its id
+    double slots = 1;
+    double load = 0; // requests that it runs or queues, estimated
+    std::chrono::duration<double, std::milli> roundTrip{0}; // network, there and back
+    std::chrono::duration<double, std::milli> serviceTime{0}; // of one request, recently
+    double failureShare = 0; // of recent attempts, 0 to 1
+};
+
+struct placement_request
+{
+    std::optional<std::uint64_t> affinity; // hash of the object; none: any upstream is as good
+    std::uint64_t random = 0; // breaks ties without affinity
+    std::chrono::duration<double, std::milli> latencyTarget{500};
+};
+
+// Picks the upstream where a request is expected to be answered first.
+//
+// For each candidate the expected time is the network's round trip, the wait for a slot and the
+// time of the work, plus what a failure costs times its probability. An object has a fixed order of
+// upstreams (weighted rendezvous hashing by slots), and only the first ones are likely to have it
+// warm, so those further down are charged what warming up costs. An object therefore stays at its
+// first upstream until the queue there costs more than a cold start elsewhere, and a loss of an
+// upstream moves only its own objects. Cost: one pass over the candidates.
+//
+// Returns the index of the candidate, or nothing if there is none.
+std::optional<std::size_t> placeRequest(std::span<const placement_candidate> candidates,
+                                        const placement_request &request);
+
+// Expected time of `candidate` at position `rank` of the object's order.
+double expectedMs(const placement_candidate &candidate, const placement_request &request,
+                  std::size_t rank);
+
+} // namespace buckthorngrade
--- a/tests/control/peer_link_test.cc
+++ b/tests/control/peer_link_test.cc
@@ -38,7 +38,7 @@
     // Port 0 lets the system choose.
     receiving_end(replica_id self, int port)
         : m_service(
-            "c", self, [this](std::string bytes) { add(std::move(bytes)); }, m_events)
+            "c", self, [this](replica_id, std::string bytes) { add(std::move(bytes)); }, m_events)
     {
         grpc::ServerBuilder builder;
         builder.SetMaxReceiveMessageSize(maxPeerMessageBytes);
