Keep upstreams cold half a second longer than the list says

Ruled out: partial views of the other instances (11 of 11 everywhere), requests to the address's earlier upstream (421).

Change: a margin of 0.5 s on the time; a log line for each upstream that is new, draining or gone.

--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -22,8 +22,17 @@
 // Upstreams close idle connections after 10 s; a margin for delays on the way.
 constexpr std::chrono::milliseconds longestIdle{6'000};
 constexpr std::chrono::milliseconds idleMargin{1'000};
+// The list tells the time left to within its lag; a trace showed it 200 ms short.
+constexpr std::chrono::milliseconds coldMargin{500};
 constexpr std::size_t maxIdleConnections = 16; // of one upstream
 
+std::int64_t toMs(steady_time until, steady_time now)
+{
+    if (until == steady_time::min())
+        return 0;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(until - now).count();
+}
+
 double fade(steady_time since, steady_time now, real_seconds life)
 {
     if (since == steady_time::min())
@@ -103,17 +112,32 @@
             const auto region = m_regionOfDomain.find(listed.failureDomain);
             state->region = region == m_regionOfDomain.end() ? "" : region->second;
         }
+        const bool wasDraining = isSame && state->listed.isDraining;
         state->listed = listed;
         if (listed.coldFor.count() > 0)
-            state->coldUntil = std::max(state->coldUntil, listing.readAt + listed.coldFor);
+            state->coldUntil
+                = std::max(state->coldUntil, listing.readAt + listed.coldFor + coldMargin);
         else if (!isSame && !m_upstreams.empty()) {
             const routed_service *service
                 = routes == nullptr ? nullptr : routes->findService(listed.service);
             if (service != nullptr)
-                state->coldUntil = listing.readAt + service->coldPeriod;
+                state->coldUntil = listing.readAt + service->coldPeriod + coldMargin;
         }
+        if (!isSame || wasDraining != listed.isDraining)
+            m_events.write(
+                event_id::upstream_listed,
+                {{"upstream", listed.id},
+                 {"service", listed.service},
+                 {"domain", listed.failureDomain},
+                 {"address", listed.address},
+                 {"draining", listed.isDraining},
+                 {"cold_ms", std::max<std::int64_t>(0, toMs(state->coldUntil, m_loop.now()))},
+                 {"started_ms", listed.startedMs}});
         next.emplace(listed.id, std::move(state));
     }
+    for (const auto &[id, state] : m_upstreams)
+        if (!next.contains(id))
+            m_events.write(event_id::upstream_gone, {{"upstream", id}});
     m_upstreams = std::move(next);
     m_byService.clear();
     for (const auto &[id, state] : m_upstreams)
