Place objects by known warmth, regions by slots with a preference for the own

Ruled out: upstreams short of slots (34 upstreams at about half their slots if all is warm).

Change: an upstream other than the object's first is charged 0.9 of the target unless this instance has seen it handle the object in the last 10 s; regions share objects by weighted rendezvous over slots, the own region three times as much.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -278,9 +278,12 @@
     const bool notRun = isNotRun(response);
     const bool isFailure = notRun || status >= firstServerError;
     upstream.recordOutcome(isFailure, now);
-    if (!isFailure)
+    if (!isFailure) {
         upstream.recordServiceTime(
             std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sentAt), now);
+        if (m_affinity)
+            upstream.recordHandled(*m_affinity, now);
+    }
     if (status == misdirected) {
         const std::string *other = response.head.find(m_owner.m_protocol.upstreamId);
         upstream.isReplaced = other == nullptr || *other != upstream.listed.id;
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -206,6 +206,7 @@
             ? std::chrono::duration<double, std::milli>(upstream->serviceMs)
             : request.latencyTarget * assumedWorkShare;
         candidate.failureShare = upstream->estimatedFailureShare(now);
+        candidate.isWarm = affinity && upstream->isWarmFor(*affinity, now);
         candidate.roundTrip = upstream->region != m_settings.region ? otherRegionTrip
             : upstream->listed.failureDomain != m_settings.failureDomain
             ? otherDomainTrip
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds idleMargin{1'000};
 // The list tells the time left to within its lag; a trace showed it 200 ms short.
 constexpr std::chrono::milliseconds coldMargin{500};
+// An object that was not asked for in this time may have made room for others.
+constexpr std::chrono::seconds warmLife{10};
+constexpr std::size_t maxHandled = 1'024; // objects remembered of one upstream
 constexpr std::size_t maxIdleConnections = 16; // of one upstream
 
 std::int64_t toMs(steady_time until, steady_time now)
@@ -53,6 +56,20 @@
     return failureShare * fade(failureShareAt, now, failureLife);
 }
 
+bool upstream_state::isWarmFor(std::uint64_t object, steady_time now) const
+{
+    const auto found = handled.find(object);
+    return found != handled.end() && now - found->second < warmLife;
+}
+
+void upstream_state::recordHandled(std::uint64_t object, steady_time now)
+{
+    if (handled.size() >= maxHandled)
+        std::erase_if(handled, [now](const auto &item) { return now - item.second >= warmLife; });
+    if (handled.size() < maxHandled || handled.contains(object))
+        handled[object] = now;
+}
+
 void upstream_state::recordOutcome(bool failed, steady_time now)
 {
     failureShare = estimatedFailureShare(now) * (1 - smoothing) + (failed ? smoothing : 0);
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace buckthorngrade {
@@ -35,6 +36,9 @@
     std::uint32_t inFlightAtReport = 0;
     steady_time reportedAt = steady_time::min();
 
+    // Objects that it handled for this instance, and when.
+    std::unordered_map<std::uint64_t, steady_time> handled;
+
     double serviceMs = 0; // mean time of recent responses; 0: none yet
     steady_time serviceMsAt = steady_time::min();
     double failureShare = 0; // of recent attempts
@@ -53,6 +57,8 @@
     // Requests that it runs or queues, estimated from its last report and the own ones.
     double estimatedLoad(steady_time now) const;
     double estimatedFailureShare(steady_time now) const;
+    bool isWarmFor(std::uint64_t object, steady_time now) const;
+    void recordHandled(std::uint64_t object, steady_time now);
     void recordOutcome(bool failed, steady_time now);
     void recordServiceTime(std::chrono::milliseconds time, steady_time now);
     void recordLoad(double running, double waiting, steady_time now);
--- a/src/steering/region_share.cc
+++ b/src/steering/region_share.cc
@@ -10,10 +10,6 @@
 
 namespace {
 
-// A region whose slots are a smaller part of all than this, relative to an even part, lets others
-// help from the start.
-constexpr double startingFactor = 2.0;
-constexpr double mostAtStart = 0.6;
 constexpr double mostInAll = 0.95;
 
 } // namespace
@@ -31,34 +27,30 @@
     return sum;
 }
 
-// Spreads `total` over the other regions by their free slots.
-void region_share::spread(const std::map<std::string, region_state> &regions, double total)
+void region_share::leaveHome(const std::map<std::string, region_state> &regions)
 {
-    m_shares.clear();
-    double free = 0;
-    const auto freeOf = [](const region_state &state) {
-        return state.slots * std::max(0.05, 1 - state.utilization);
-    };
+    double slots = 0;
     for (const auto &[region, state] : regions)
-        if (region != m_own && state.slots > 0)
-            free += freeOf(state);
-    if (free <= 0)
-        return;
+        slots += region == m_own ? 0 : state.slots;
+    m_shares.clear();
     for (const auto &[region, state] : regions)
         if (region != m_own && state.slots > 0)
-            m_shares[region] = total * freeOf(state) / free;
+            m_shares[region] = state.slots / slots;
 }
 
 void region_share::start(const std::map<std::string, region_state> &regions)
 {
-    double slots = 0;
-    for (const auto &[region, state] : regions)
-        slots += state.slots;
-    if (slots <= 0)
-        return;
+    const auto weightOf = [this](const auto &item) {
+        return item.second.slots * (item.first == m_own ? m_limits.homeWeight : 1);
+    };
+    double weights = 0;
+    for (const auto &item : regions)
+        weights += weightOf(item);
     m_isStarted = true;
-    const double part = regions.at(m_own).slots / slots * static_cast<double>(regions.size());
-    spread(regions, std::clamp(1 - startingFactor * part, 0.0, mostAtStart));
+    m_shares.clear();
+    for (const auto &item : regions)
+        if (item.first != m_own && item.second.slots > 0)
+            m_shares[item.first] = weightOf(item) / weights;
 }
 
 bool region_share::update(const std::map<std::string, region_state> &regions, steady_time now)
@@ -69,7 +61,7 @@
         m_isForced = true;
         m_isStarted = true;
         if (isNew || m_shares.empty())
-            spread(regions, 1);
+            leaveHome(regions);
         return isNew;
     }
     if (m_isForced || !m_isStarted) {
@@ -105,14 +97,20 @@
         m_shares[least->first] += m_limits.step;
         return true;
     }
-    if (most != nullptr
-        && (ownUse < m_limits.lowUtilization
-            || most->second.utilization > ownUse + m_limits.least)) {
-        double &share = m_shares[most->first];
-        share = std::max(0.0, share - m_limits.step);
-        return true;
-    }
-    return false;
+    if (most == nullptr || most->second.utilization < m_limits.highUtilization)
+        return false;
+    // The most loaded region gives to the least loaded one, which may be the own.
+    const bool isOwnLeast
+        = least == nullptr || ownUse <= least->second.utilization + m_limits.least / 2;
+    const double leastUse = isOwnLeast ? ownUse : least->second.utilization;
+    if (most->second.utilization < leastUse + m_limits.least)
+        return false;
+    double &share = m_shares[most->first];
+    const double moved = std::min(share, m_limits.step);
+    share -= moved;
+    if (!isOwnLeast)
+        m_shares[least->first] += moved;
+    return true;
 }
 
 const std::string &region_share::choose(std::uint64_t hash) const
--- a/src/steering/region_share.h
+++ b/src/steering/region_share.h
@@ -18,11 +18,13 @@
 
 // Which share of one region's requests to a service other regions serve.
 //
-// The share starts from the slots of the regions and then follows their utilization, by at most
-// `step` in an interval: the callers' region may change only so fast, because a fast shift meets
-// cold upstreams and overshoots on measurements that lag. Only the loss of all upstreams in the own
-// region moves everything at once. Which requests leave is decided by a hash of their object, so
-// that an object moves once and stays.
+// An object that is requested in all regions is warm sooner, and takes less room, if all of them
+// send it to the same region. So the share starts from the slots of the regions, with `homeWeight`
+// for the own one: a higher weight saves round trips and bytes between regions and costs cold
+// starts. Then the share follows utilization, by at most `step` in an interval: the callers' region
+// may change only so fast, because a fast shift meets cold upstreams and overshoots on measurements
+// that lag. Only the loss of all upstreams in the own region moves everything at once. Which
+// requests leave is decided by a hash of their object, so that an object moves once and stays.
 class region_share
 {
 public:
@@ -31,9 +33,9 @@
     struct limits
     {
         double step = 0.05; // share of requests that may change region in an interval
-        double highUtilization = 0.8; // of the own region, above which others help
-        double lowUtilization = 0.55; // of the own region, below which it takes requests back
-        double least = 0.15; // difference of utilization that makes a move worthwhile
+        double highUtilization = 0.75; // of a region, above which others take its requests
+        double least = 0.2; // difference of utilization that makes a move worthwhile
+        double homeWeight = 3;
     };
 
     region_share(std::string ownRegion, const limits &bounds);
@@ -48,7 +50,7 @@
 
 private:
     void start(const std::map<std::string, region_state> &regions);
-    void spread(const std::map<std::string, region_state> &regions, double total);
+    void leaveHome(const std::map<std::string, region_state> &regions);
     double total() const;
 
     std::string m_own;
--- a/src/steering/upstream_placement.cc
+++ b/src/steering/upstream_placement.cc
@@ -10,10 +10,12 @@
 
 namespace {
 
-// Cost of an object that is not warm, as a share of its latency target. The second upstream of an
-// object is warm more often than the others, because it takes what the first one can't.
-constexpr double secondRankCost = 0.4;
-constexpr double laterRankCost = 0.7;
+// Cost of an object that is not warm, as a share of its latency target: targets are set so that a
+// cold start misses them.
+constexpr double coldStartCost = 0.9;
+// Another upstream that is warm is left alone while the first one is no worse, so that copies do
+// not crowd out other objects.
+constexpr double secondCopyCost = 0.1;
 // Cost of a failed attempt, as a multiple of the latency target.
 constexpr double failureCost = 2.0;
 
@@ -43,16 +45,15 @@
 }
 
 double expectedMs(const placement_candidate &candidate, const placement_request &request,
-                  std::size_t rank)
+                  bool isFirst)
 {
     const double target = request.latencyTarget.count();
     const double queued = std::max(0.0, candidate.load + 1 - candidate.slots);
     const double wait = queued * candidate.serviceTime.count() / candidate.slots;
-    const double coldCost = !request.affinity ? 0
-        : rank == 0                           ? 0
-        : rank == 1                           ? secondRankCost * target
-                                              : laterRankCost * target;
-    return candidate.roundTrip.count() + wait + candidate.serviceTime.count() + coldCost
+    const double copyCost = !request.affinity || isFirst ? 0
+        : candidate.isWarm                               ? secondCopyCost * target
+                                                         : coldStartCost * target;
+    return candidate.roundTrip.count() + wait + candidate.serviceTime.count() + copyCost
         + candidate.failureShare * failureCost * target;
 }
 
@@ -67,16 +68,12 @@
     for (const placement_candidate &candidate : candidates)
         scores.push_back(scoreOf(candidate, key));
     const auto first = static_cast<std::size_t>(std::ranges::max_element(scores) - scores.begin());
-    std::size_t second = candidates.size();
-    for (std::size_t i = 0; i < candidates.size(); ++i)
-        if (i != first && (second == candidates.size() || scores[i] > scores[second]))
-            second = i;
     std::size_t best = first;
-    double bestMs = expectedMs(candidates[first], request, 0);
+    double bestMs = expectedMs(candidates[first], request, true);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (i == first)
             continue;
-        const double cost = expectedMs(candidates[i], request, i == second ? 1 : 2);
+        const double cost = expectedMs(candidates[i], request, false);
         // Equal candidates are taken in the order of their scores.
         if (cost < bestMs || (cost == bestMs && scores[i] > scores[best])) {
             best = i;
--- a/src/steering/upstream_placement.h
+++ b/src/steering/upstream_placement.h
@@ -23,6 +23,7 @@
     std::chrono::duration<double, std::milli> roundTrip{0}; // network, there and back
     std::chrono::duration<double, std::milli> serviceTime{0}; // of one request, recently
     double failureShare = 0; // of recent attempts, 0 to 1
+    bool isWarm = false; // it has handled the object recently
 };
 
 struct placement_request
@@ -35,18 +36,19 @@
 // Picks the upstream where a request is expected to be answered first.
 //
 // For each candidate the expected time is the network's round trip, the wait for a slot and the
-// time of the work, plus what a failure costs times its probability. An object has a fixed order of
-// upstreams (weighted rendezvous hashing by slots), and only the first ones are likely to have it
-// warm, so those further down are charged what warming up costs. An object therefore stays at its
-// first upstream until the queue there costs more than a cold start elsewhere, and a loss of an
-// upstream moves only its own objects. Cost: one pass over the candidates.
+// time of the work, plus what a failure costs times its probability. An object has a first upstream
+// (weighted rendezvous hashing by slots), which is likely to have it warm because all entry
+// instances send it there; others are charged what warming up costs, unless they are known to have
+// handled the object recently. An object therefore stays at its first upstream until the queue
+// there costs more than a cold start elsewhere, and a loss of an upstream moves only its own
+// objects. Cost: one pass over the candidates.
 //
 // Returns the index of the candidate, or nothing if there is none.
 std::optional<std::size_t> placeRequest(std::span<const placement_candidate> candidates,
                                         const placement_request &request);
 
-// Expected time of `candidate` at position `rank` of the object's order.
+// Expected time of `candidate`; `isFirst`: it is the object's first upstream.
 double expectedMs(const placement_candidate &candidate, const placement_request &request,
-                  std::size_t rank);
+                  bool isFirst);
 
 } // namespace buckthorngrade
