Make cold starts only where slots are free; refuse hopeless requests at once

In the slow one, a full first upstream sent its objects to upstreams that did not have them warm, where each takes 3.3 times the work, so the queues never became shorter.

Change: an upstream that does not have the object warm takes it only below 0.7 of its slots; a request whose expected time is above 3 targets (4 for urgent routes, 0.9 of the route's timeout) is refused at once.

--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -19,9 +19,27 @@
 // A connection across failure domains costs more than the round trip that a request needs anyway.
 constexpr std::chrono::duration<double, std::milli> otherDomainTrip{8};
 constexpr std::chrono::duration<double, std::milli> otherRegionTrip{115};
+constexpr int urgentPriority = 1; // and below: 0 is the highest
+constexpr double ordinaryPatience = 3.0; // multiples of the latency target
+constexpr double urgentPatience = 4.0;
+constexpr double usedPartOfTimeout = 0.9;
 // Requests change region for reasons beyond the shares, too, so only a part of the bound is used.
 constexpr double usedPartOfShift = 0.33;
 
+// Longest expected time at which a request is still sent. What would be late by more takes slots
+// from requests that could be in time; urgent requests are worth more, so they may wait longer.
+std::chrono::duration<double, std::milli>
+admissionLimit(const route &route, std::chrono::duration<double, std::milli> target)
+{
+    if (route.priority > urgentPriority)
+        return target * ordinaryPatience;
+    const auto patient = target * urgentPatience;
+    if (route.timeout.count() == 0)
+        return patient;
+    return std::min(patient,
+                    usedPartOfTimeout * std::chrono::duration<double, std::milli>(route.timeout));
+}
+
 region_share::limits shareLimits(const node_settings &settings)
 {
     region_share::limits result;
@@ -212,7 +230,10 @@
             ? otherDomainTrip
             : std::chrono::duration<double, std::milli>(0);
     }
-    upstream_state *chosen = usable[placeRequest(candidates, request).value()];
+    const placement placed = placeRequest(candidates, request).value();
+    upstream_state *chosen = usable[placed.index];
+    if (placed.expected > admissionLimit(route, request.latencyTarget))
+        return {nullptr, "overloaded"};
     if (const auto cold = coldShares.find(chosen); cold != coldShares.end())
         chosen->coldGate.tryTake(now, cold->second);
     return {m_upstreams.find(chosen->listed.id), "placed"};
--- a/src/steering/upstream_placement.cc
+++ b/src/steering/upstream_placement.cc
@@ -16,6 +16,8 @@
 // Another upstream that is warm is left alone while the first one is no worse, so that copies do
 // not crowd out other objects.
 constexpr double secondCopyCost = 0.1;
+// Part of an upstream's slots up to which it takes objects that it has not warm.
+constexpr double coldStartLoad = 0.7;
 // Cost of a failed attempt, as a multiple of the latency target.
 constexpr double failureCost = 2.0;
 
@@ -25,6 +27,11 @@
     return -candidate.slots / std::log(unitOf(combineHashes(candidate.hash, key)));
 }
 
+bool hasRoomForColdStart(const placement_candidate &candidate)
+{
+    return candidate.isWarm || candidate.load + 1 <= coldStartLoad * candidate.slots;
+}
+
 } // namespace
 
 std::uint64_t hashOf(std::string_view text)
@@ -57,8 +64,8 @@
         + candidate.failureShare * failureCost * target;
 }
 
-std::optional<std::size_t> placeRequest(std::span<const placement_candidate> candidates,
-                                        const placement_request &request)
+std::optional<placement> placeRequest(std::span<const placement_candidate> candidates,
+                                      const placement_request &request)
 {
     if (candidates.empty())
         return std::nullopt;
@@ -71,7 +78,7 @@
     std::size_t best = first;
     double bestMs = expectedMs(candidates[first], request, true);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (i == first)
+        if (i == first || (request.affinity && !hasRoomForColdStart(candidates[i])))
             continue;
         const double cost = expectedMs(candidates[i], request, false);
         // Equal candidates are taken in the order of their scores.
@@ -80,7 +87,7 @@
             bestMs = cost;
         }
     }
-    return best;
+    return placement{best, std::chrono::duration<double, std::milli>(bestMs)};
 }
 
 } // namespace buckthorngrade
--- a/src/steering/upstream_placement.h
+++ b/src/steering/upstream_placement.h
@@ -43,9 +43,18 @@
 // there costs more than a cold start elsewhere, and a loss of an upstream moves only its own
 // objects. Cost: one pass over the candidates.
 //
-// Returns the index of the candidate, or nothing if there is none.
-std::optional<std::size_t> placeRequest(std::span<const placement_candidate> candidates,
-                                        const placement_request &request);
+// A cold start takes several times the work, so it is made only where slots are free: under
+// overload, cold starts would take the slots that warm requests need, and the queues would never
+// shorten again.
+//
+// Returns the index of the candidate and its expected time, or nothing if there is none.
+struct placement
+{
+    std::size_t index = 0;
+    std::chrono::duration<double, std::milli> expected{0};
+};
+std::optional<placement> placeRequest(std::span<const placement_candidate> candidates,
+                                      const placement_request &request);
 
 // Expected time of `candidate`; `isFirst`: it is the object's first upstream.
 double expectedMs(const placement_candidate &candidate, const placement_request &request,
