Test the carrier, the server, the formats and the shared budgets; refuse only where a queue is

Cause (found by timeoutIsAnsweredAtOnceAndPromisesNothing, which failed first with 503 for 504): a route whose timeout is shorter than the work assumed for it was refused for ever, since nothing was measured while all was refused. A request is now refused only if it would wait for a slot.

--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -232,7 +232,8 @@
     }
     const placement placed = placeRequest(candidates, request).value();
     upstream_state *chosen = usable[placed.index];
-    if (placed.expected > admissionLimit(route, request.latencyTarget))
+    // Without a queue, a long time is the work's own, and refusing would not shorten it.
+    if (placed.isFull && placed.expected > admissionLimit(route, request.latencyTarget))
         return {nullptr, "overloaded"};
     if (const auto cold = coldShares.find(chosen); cold != coldShares.end())
         chosen->coldGate.tryTake(now, cold->second);
--- a/src/steering/upstream_placement.cc
+++ b/src/steering/upstream_placement.cc
@@ -87,7 +87,8 @@
             bestMs = cost;
         }
     }
-    return placement{best, std::chrono::duration<double, std::milli>(bestMs)};
+    return placement{best, std::chrono::duration<double, std::milli>(bestMs),
+                     candidates[best].load + 1 > candidates[best].slots};
 }
 
 } // namespace buckthorngrade
--- a/src/steering/upstream_placement.h
+++ b/src/steering/upstream_placement.h
@@ -47,11 +47,13 @@
 // overload, cold starts would take the slots that warm requests need, and the queues would never
 // shorten again.
 //
-// Returns the index of the candidate and its expected time, or nothing if there is none.
+// Returns the index of the candidate, its expected time and whether a request would wait for a slot
+// there, or nothing if there is no candidate.
 struct placement
 {
     std::size_t index = 0;
     std::chrono::duration<double, std::milli> expected{0};
+    bool isFull = false;
 };
 std::optional<placement> placeRequest(std::span<const placement_candidate> candidates,
                                       const placement_request &request);
--- /dev/null
+++ b/testing/scripted_server.cc
@@ -0,0 +1,98 @@
+#include "testing/scripted_server.h"
+
+#include "base/http_head.h"
+
+#include <future>
+
+#include <fmt/format.h>
+
+namespace buckthorngrade {
+
+void loop_thread::start()
+{
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+void loop_thread::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_loop.stop();
+    m_thread.join();
+}
+
+void loop_thread::call(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    m_loop.post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+scripted_server::scripted_server(event_loop &loop, script answer)
+    : m_loop(loop)
+    , m_script(std::move(answer))
+    , m_listener(loop, {"127.0.0.1", 0}, [this](int descriptor) { accept(descriptor); })
+{ }
+
+scripted_server::~scripted_server() = default;
+
+std::vector<std::string> scripted_server::requests() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requests;
+}
+
+void scripted_server::accept(int descriptor)
+{
+    ++m_accepted;
+    peer &added = *m_peers.emplace_back(std::make_unique<peer>());
+    added.socket = std::make_unique<stream_socket>(m_loop, descriptor);
+    stream_socket::handlers handlers;
+    handlers.onInput = [this, &added] { read(added); };
+    handlers.onClosed = [this, &added](close_reason) {
+        if (added.isWaiting)
+            ++m_abandoned;
+    };
+    added.socket->setHandlers(std::move(handlers));
+}
+
+void scripted_server::read(peer &from)
+{
+    std::string &input = from.socket->input();
+    const auto end = findHeadEnd(input);
+    if (!end)
+        return;
+    const http_head head = parseRequestHead(std::string_view(input).substr(0, *end));
+    const std::size_t size = *end + static_cast<std::size_t>(head.contentLength);
+    if (input.size() < size)
+        return;
+    const std::string request = input.substr(0, size);
+    input.erase(0, size);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_requests.push_back(request);
+    }
+    const scripted_answer answer = m_script(request);
+    from.isWaiting = answer.bytes.empty() && !answer.closes && !answer.resets;
+    from.socket->send(answer.bytes);
+    if (answer.resets)
+        from.socket->reset();
+    else if (answer.closes)
+        from.socket->close();
+}
+
+std::string scriptedResponse(int status, const std::string &fields, const std::string &body)
+{
+    return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status, fields,
+                       body.size(), body);
+}
+
+std::string scriptedField(const std::string &request, const std::string &name)
+{
+    return parseRequestHead(request.substr(0, findHeadEnd(request).value())).get(name);
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/testing/scripted_server.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/stream_socket.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace buckthorngrade {
+
+// An event loop on a thread of its own, for tests. Objects that use the loop are created before
+// start() and destroyed after stop().
+class loop_thread
+{
+public:
+    loop_thread() = default;
+    ~loop_thread() { stop(); }
+    loop_thread(const loop_thread &) = delete;
+    loop_thread &operator=(const loop_thread &) = delete;
+
+    event_loop &loop() { return m_loop; }
+    void start();
+    void stop();
+    // Runs `task` on the loop's thread and waits for it.
+    void call(const std::function<void()> &task);
+
+private:
+    event_loop m_loop;
+    std::thread m_thread;
+};
+
+// What a scripted_server does with one request.
+struct scripted_answer
+{
+    std::string bytes; // sent as they are; empty: nothing is answered
+    bool closes = false; // cleanly, after the bytes
+    bool resets = false; // in place of a clean close
+};
+
+// Answers whole requests with whatever bytes a test wants, to play upstreams that misbehave.
+class scripted_server
+{
+public:
+    // Gets the request's text, head and body. Called on the loop's thread.
+    using script = std::function<scripted_answer(const std::string &request)>;
+
+    scripted_server(event_loop &loop, script answer);
+    ~scripted_server();
+    scripted_server(const scripted_server &) = delete;
+    scripted_server &operator=(const scripted_server &) = delete;
+
+    std::string address() const { return m_listener.address().toString(); }
+    // Requests that arrived whole.
+    std::vector<std::string> requests() const;
+    // Connections that the other side closed while a request had no answer.
+    std::size_t abandoned() const { return m_abandoned; }
+    std::size_t connections() const { return m_accepted; }
+
+private:
+    struct peer
+    {
+        std::unique_ptr<stream_socket> socket;
+        bool isWaiting = false; // a request has no answer
+    };
+
+    void accept(int descriptor);
+    void read(peer &from);
+
+    event_loop &m_loop;
+    script m_script;
+    stream_listener m_listener;
+    std::vector<std::unique_ptr<peer>> m_peers;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::atomic<std::size_t> m_abandoned = 0;
+    std::atomic<std::size_t> m_accepted = 0;
+};
+
+// A response with Content-Length; `fields` are lines that end with CR LF.
+std::string scriptedResponse(int status, const std::string &fields, const std::string &body);
+// Value of a field in a request's text; empty if there is none.
+std::string scriptedField(const std::string &request, const std::string &name);
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/tests/carrier/carrier_test.cc
@@ -0,0 +1,371 @@
+#include "carrier/carrier.h"
+#include "testing/http_client.h"
+#include "testing/http_connection.h"
+#include "testing/scripted_server.h"
+#include "testing/wait.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <optional>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const carry_protocol protocol;
+
+node_settings nodeSettings()
+{
+    node_settings result;
+    result.name = "entry-1";
+    result.host = "127.0.0.1";
+    result.region = "r";
+    result.failureDomain = "d";
+    result.regionOfDomain = {{"d", "r"}, {"e", "r"}};
+    result.retryAllowance = 1'000;
+    result.coldOverage = 1.5;
+    result.coldAllowance = 5;
+    return result;
+}
+
+route routeFor(const std::string &prefix, request_kind kind)
+{
+    route result;
+    result.name = prefix;
+    result.host = "test"; // as the test client names it
+    result.pathPrefix = prefix;
+    result.kind = kind;
+    result.timeout = 20s;
+    result.latencyTarget = 500ms;
+    result.services = {{"s", 1}};
+    result.maxAttempts = 2;
+    return result;
+}
+
+// A carrier behind a server, in front of scripted upstreams "u0", "u1" ... of service "s".
+class carrying
+{
+public:
+    explicit carrying(std::vector<scripted_server::script> scripts)
+        : m_carrier(m_thread.loop(), m_settings, protocol, m_events, m_metrics)
+        , m_server(m_thread.loop(), {"127.0.0.1", 0}, {},
+                   [this](const exchange_pointer &exchange) { m_carrier.handle(exchange); })
+    {
+        upstream_listing listing;
+        listing.readAt = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < scripts.size(); ++i) {
+            upstreams.push_back(
+                std::make_unique<scripted_server>(m_thread.loop(), std::move(scripts[i])));
+            listing.upstreams.push_back(
+                {fmt::format("u{}", i), "s", upstreams.back()->address(), "d", 4, false, 0ms, 1});
+        }
+        m_listing = listing;
+        routing_document document;
+        document.version = 1;
+        document.routes = {routeFor("/safe/", request_kind::idempotent),
+                           routeFor("/once/", request_kind::non_idempotent)};
+        document.routes.push_back(routeFor("/short/", request_kind::non_idempotent));
+        document.routes.back().timeout = 150ms;
+        document.services = {{"s", "/health", 100, 3s, 1}};
+        m_carrier.setUpstreams(listing);
+        m_carrier.setRouting(std::make_shared<const route_table>(document));
+        m_carrier.setInstances({{"entry-1", "r"}});
+        m_thread.start();
+    }
+    ~carrying() { m_thread.stop(); }
+    carrying(const carrying &) = delete;
+    carrying &operator=(const carrying &) = delete;
+
+    http_response send(const std::string &path, const std::string &id = "id-1",
+                       const std::string &body = {})
+    {
+        http_request request;
+        request.method = body.empty() ? "GET" : "POST";
+        request.path = path;
+        request.headers = {{protocol.requestId, id}, {protocol.deadlineMs, "30000"}};
+        request.body = body;
+        return exchange(m_server.address().toString(), request);
+    }
+    std::string address() const { return m_server.address().toString(); }
+    std::size_t arrivals() const
+    {
+        std::size_t result = 0;
+        for (const auto &upstream : upstreams)
+            result += upstream->requests().size();
+        return result;
+    }
+    void apply(const std::function<void(upstream_listing &)> &change)
+    {
+        m_thread.call([&] {
+            change(m_listing);
+            m_carrier.setUpstreams(m_listing);
+        });
+    }
+    carrier &get() { return m_carrier; }
+    loop_thread &thread() { return m_thread; }
+
+    std::vector<std::unique_ptr<scripted_server>> upstreams;
+
+private:
+    loop_thread m_thread;
+    node_settings m_settings = nodeSettings();
+    null_event_log m_events;
+    metric_registry m_metrics;
+    upstream_listing m_listing;
+    carrier m_carrier;
+    http_server m_server;
+};
+
+std::string echo(const std::string &request)
+{
+    return fmt::format("{}: {}\r\n", protocol.requestId,
+                       scriptedField(request, protocol.requestId));
+}
+
+scripted_answer answerOk(const std::string &request)
+{
+    return {scriptedResponse(200, echo(request) + protocol.seal + ": s\r\n", "done")};
+}
+
+scripted_answer refuse(const std::string &request)
+{
+    return {scriptedResponse(503, echo(request) + protocol.notRun + ": 1\r\n", "")};
+}
+
+} // namespace
+
+class carrier_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(carrier_test);
+    CPPUNIT_TEST(passesRequestsOnUnchanged);
+    CPPUNIT_TEST(nothingIsSentTwiceThatMayRunOnce);
+    CPPUNIT_TEST(idempotentRequestsAreSentAgain);
+    CPPUNIT_TEST(refusalsGoToAnotherUpstream);
+    CPPUNIT_TEST(refusalOfAllPromisesNotRun);
+    CPPUNIT_TEST(promiseOfAnUpstreamThatMayHaveRunIsNotPassedOn);
+    CPPUNIT_TEST(answersOfOtherRequestsAreSkipped);
+    CPPUNIT_TEST(extraBytesNeverReachAnotherCaller);
+    CPPUNIT_TEST(answerWithoutLengthNeedsACleanEnd);
+    CPPUNIT_TEST(timeoutIsAnsweredAtOnceAndPromisesNothing);
+    CPPUNIT_TEST(leavingCallerEndsIdempotentWork);
+    CPPUNIT_TEST(replacedUpstreamGetsNothingMore);
+    CPPUNIT_TEST(drainingAndEvacuatedUpstreamsGetNothing);
+    CPPUNIT_TEST(coldUpstreamGetsItsRateOnly);
+    CPPUNIT_TEST(unknownRouteAndMissingDocument);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void passesRequestsOnUnchanged()
+    {
+        carrying system({answerOk});
+        const http_response response = system.send("/once/a%20b/?q=1&r", "id-7", "body");
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), response.body);
+        const std::string request = system.upstreams[0]->requests().at(0);
+        CPPUNIT_ASSERT(request.starts_with("POST /once/a%20b/?q=1&r HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(request.ends_with("\r\n\r\nbody"));
+        CPPUNIT_ASSERT_EQUAL(std::string("id-7"), scriptedField(request, protocol.requestId));
+        CPPUNIT_ASSERT_EQUAL(std::string("u0"), scriptedField(request, protocol.expectedUpstream));
+        const int left = std::stoi(scriptedField(request, protocol.deadlineMs));
+        CPPUNIT_ASSERT(left > 0 && left <= 20'000);
+    }
+
+    // Guards against doubled claims: every failure after the first byte was sent.
+    void nothingIsSentTwiceThatMayRunOnce()
+    {
+        const std::vector<scripted_server::script> failures = {
+            [](const std::string &) {
+                return scripted_answer{"", false, true};
+            },
+            [](const std::string &) {
+                return scripted_answer{"", true, false};
+            },
+            [](const std::string &) {
+                return scripted_answer{"nonsense\r\n\r\n", true, false};
+            },
+            [](const std::string &request) {
+                return scripted_answer{"HTTP/1.1 200 OK\r\n" + echo(request)
+                                           + "Content-Length: 10\r\n\r\nshort",
+                                       true, false};
+            },
+            [](const std::string &request) {
+                return scripted_answer{scriptedResponse(500, echo(request), "e")};
+            },
+        };
+        for (const scripted_server::script &failure : failures) {
+            carrying system({failure, failure, failure});
+            const http_response response = system.send("/once/x", "id", "claim");
+            CPPUNIT_ASSERT(response.status == 502 || response.status == 500);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, system.arrivals());
+        }
+    }
+
+    void idempotentRequestsAreSentAgain()
+    {
+        std::atomic<int> count = 0;
+        const scripted_server::script failsOnce = [&](const std::string &request) {
+            return ++count == 1 ? scripted_answer{"", false, true} : answerOk(request);
+        };
+        carrying system({failsOnce, failsOnce});
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.arrivals());
+    }
+
+    void refusalsGoToAnotherUpstream()
+    {
+        std::atomic<int> count = 0;
+        const scripted_server::script refusesOnce = [&](const std::string &request) {
+            return ++count == 1 ? refuse(request) : answerOk(request);
+        };
+        carrying system({refusesOnce, refusesOnce});
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "id", "claim").status);
+    }
+
+    void refusalOfAllPromisesNotRun()
+    {
+        carrying system({refuse, refuse});
+        const http_response response = system.send("/once/x", "id", "claim");
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+        CPPUNIT_ASSERT(!response.header("retry-after").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.arrivals());
+    }
+
+    // Guards against a 503 without the mark "not run", which a caller would take for a promise.
+    void promiseOfAnUpstreamThatMayHaveRunIsNotPassedOn()
+    {
+        for (const int status : {503, 429, 408}) {
+            carrying system({[status](const std::string &request) {
+                return scripted_answer{scriptedResponse(status, echo(request), "")};
+            }});
+            CPPUNIT_ASSERT_EQUAL(502, system.send("/once/x", "id", "claim").status);
+        }
+    }
+
+    // Guards against a late answer to an earlier request on the same connection.
+    void answersOfOtherRequestsAreSkipped()
+    {
+        carrying system({[](const std::string &request) {
+            return scripted_answer{
+                scriptedResponse(200, protocol.requestId + ": other\r\n", "wrong")
+                + answerOk(request).bytes};
+        }});
+        const http_response response = system.send("/once/x", "id", "claim");
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), response.body);
+    }
+
+    void extraBytesNeverReachAnotherCaller()
+    {
+        carrying system({[](const std::string &request) {
+            const std::string answer = answerOk(request).bytes;
+            return scripted_answer{answer + answer};
+        }});
+        for (int i = 0; i < 5; ++i) {
+            const http_response response = system.send("/once/x", fmt::format("id-{}", i), "c");
+            CPPUNIT_ASSERT_EQUAL(200, response.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("done"), response.body);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, system.upstreams[0]->connections());
+    }
+
+    void answerWithoutLengthNeedsACleanEnd()
+    {
+        const auto answer = [](const std::string &request) {
+            return "HTTP/1.1 200 OK\r\n" + echo(request) + "Connection: close\r\n\r\nwhole";
+        };
+        carrying clean({[&](const std::string &request) {
+            return scripted_answer{answer(request), true, false};
+        }});
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), clean.send("/once/x", "id", "c").body);
+        carrying cut({[&](const std::string &request) {
+            return scripted_answer{answer(request), false, true};
+        }});
+        CPPUNIT_ASSERT_EQUAL(502, cut.send("/once/x", "id", "c").status);
+    }
+
+    void timeoutIsAnsweredAtOnceAndPromisesNothing()
+    {
+        carrying system({[](const std::string &) { return scripted_answer{}; }});
+        CPPUNIT_ASSERT_EQUAL(504, system.send("/short/x", "id", "claim").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, system.arrivals());
+    }
+
+    // Guards against upstreams that work for callers that have left, and against claims that are
+    // cut off because their caller did.
+    void leavingCallerEndsIdempotentWork()
+    {
+        carrying system({[](const std::string &) { return scripted_answer{}; }});
+        const auto leave = [&](const std::string &path) {
+            http_connection connection(
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address())));
+            const std::size_t before = system.arrivals();
+            connection.send("GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n");
+            waitUntil("the request arrives", [&] { return system.arrivals() > before; });
+            connection.reset();
+        };
+        leave("/once/x");
+        leave("/safe/x");
+        waitUntil("the work is ended", [&] { return system.upstreams[0]->abandoned() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.arrivals());
+    }
+
+    // Guards against requests to another service's upstream that has taken over the address.
+    void replacedUpstreamGetsNothingMore()
+    {
+        carrying system({[](const std::string &request) {
+                             return scripted_answer{scriptedResponse(
+                                 421, echo(request) + protocol.upstreamId + ": other\r\n", "")};
+                         },
+                         answerOk});
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", fmt::format("id-{}", i), "c").status);
+        CPPUNIT_ASSERT(system.upstreams[0]->requests().size() <= 1);
+    }
+
+    void drainingAndEvacuatedUpstreamsGetNothing()
+    {
+        carrying system({answerOk, answerOk});
+        system.apply([](upstream_listing &listing) { listing.upstreams[0].isDraining = true; });
+        for (int i = 0; i < 10; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
+        CPPUNIT_ASSERT(system.upstreams[0]->requests().empty());
+        system.thread().call([&] { system.get().setEvacuated({"d"}); });
+        const http_response response = system.send("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, system.arrivals());
+    }
+
+    // The service's rate is 1 a second, the bounds allow 1.5 x 1 + 5 of all instances.
+    void coldUpstreamGetsItsRateOnly()
+    {
+        carrying system({answerOk});
+        system.apply([](upstream_listing &listing) {
+            listing.readAt = std::chrono::steady_clock::now();
+            listing.upstreams[0].coldFor = 60s;
+        });
+        std::size_t served = 0;
+        const auto start = std::chrono::steady_clock::now();
+        for (int i = 0; i < 60; ++i)
+            served += system.send("/safe/x").status == 200 ? 1 : 0;
+        const auto seconds
+            = std::chrono::ceil<std::chrono::seconds>(std::chrono::steady_clock::now() - start);
+        CPPUNIT_ASSERT(served >= 1);
+        CPPUNIT_ASSERT(served <= 6 * static_cast<std::size_t>(seconds.count()));
+    }
+
+    void unknownRouteAndMissingDocument()
+    {
+        carrying system({answerOk});
+        CPPUNIT_ASSERT_EQUAL(404, system.send("/other/x").status);
+        system.thread().call([&] { system.get().setRouting(nullptr); });
+        CPPUNIT_ASSERT_EQUAL(503, system.send("/safe/x").status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(carrier_test);
--- /dev/null
+++ b/tests/control/node_roster_test.cc
@@ -0,0 +1,70 @@
+#include "control/node_roster.h"
+#include "steering/entry_directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start(1000s);
+
+wire::node_report reportOf(const std::string &name, std::uint64_t incarnation, bool isReady)
+{
+    wire::node_report report;
+    report.set_instance(name);
+    report.set_incarnation(incarnation);
+    report.set_entry_address("1.2.3.4:5");
+    report.set_ready(isReady);
+    return report;
+}
+
+} // namespace
+
+class node_roster_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(node_roster_test);
+    CPPUNIT_TEST(silentAndLeavingInstancesAreLeftOut);
+    CPPUNIT_TEST(lateReportOfAnEarlierProcessIsIgnored);
+    CPPUNIT_TEST(callersGetTheirRegionFirst);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void silentAndLeavingInstancesAreLeftOut()
+    {
+        node_roster roster;
+        roster.update(reportOf("a", 1, true), start);
+        wire::node_report leaving = reportOf("b", 1, true);
+        leaving.set_leaving(true);
+        roster.update(leaving, start);
+        const auto live = roster.live(start + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, live.size());
+        CPPUNIT_ASSERT(live[0].isReady && !live[1].isReady);
+        CPPUNIT_ASSERT(roster.live(start + 2s).empty());
+    }
+
+    // Guards against a report that the network delivers after the restart of its instance.
+    void lateReportOfAnEarlierProcessIsIgnored()
+    {
+        node_roster roster;
+        roster.update(reportOf("a", 2, false), start);
+        roster.update(reportOf("a", 1, true), start);
+        CPPUNIT_ASSERT(!roster.live(start)[0].isReady);
+    }
+
+    void callersGetTheirRegionFirst()
+    {
+        const std::vector<directory_entry> entries = {{"1", "r", "d2", true},
+                                                      {"2", "r", "d1", true},
+                                                      {"3", "q", "x", true},
+                                                      {"4", "r", "d1", false}};
+        using list = std::vector<std::string>;
+        CPPUNIT_ASSERT(chooseEntries(entries, "r", "d1", 64) == (list{"2", "1"}));
+        CPPUNIT_ASSERT(chooseEntries(entries, "r", "d1", 1) == (list{"2"}));
+        CPPUNIT_ASSERT(chooseEntries(entries, "p", "d9", 64).size() == 3);
+        CPPUNIT_ASSERT(chooseEntries({{"4", "r", "d1", false}}, "r", "d1", 64).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(node_roster_test);
--- /dev/null
+++ b/tests/net/http_server_test.cc
@@ -0,0 +1,199 @@
+#include "net/http_server.h"
+#include "testing/http_client.h"
+#include "testing/http_connection.h"
+#include "testing/scripted_server.h"
+#include "testing/wait.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <deque>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string request(const std::string &path, const std::string &more = {})
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
+}
+
+// Keeps the exchanges whose path begins with "/hold" and answers the others with their path.
+class held_server
+{
+public:
+    explicit held_server(http_server_options options = {})
+        : m_server(m_thread.loop(), {"127.0.0.1", 0}, options,
+                   [this](const exchange_pointer &exchange) {
+                       if (exchange->head.target.starts_with("/hold")) {
+                           exchange->onCallerGone = [this] { ++gone; };
+                           held.push_back(exchange);
+                           ++heldCount;
+                       } else {
+                           exchange->respond(200, {}, exchange->head.target + exchange->body);
+                       }
+                   })
+    {
+        m_thread.start();
+    }
+    ~held_server() { m_thread.stop(); }
+    held_server(const held_server &) = delete;
+    held_server &operator=(const held_server &) = delete;
+
+    Poco::Net::StreamSocket connect()
+    {
+        return Poco::Net::StreamSocket(Poco::Net::SocketAddress(m_server.address().toString()));
+    }
+    std::string address() const { return m_server.address().toString(); }
+    loop_thread &thread() { return m_thread; }
+    http_server &server() { return m_server; }
+
+    std::deque<exchange_pointer> held; // used on the loop's thread
+    std::atomic<int> heldCount = 0;
+    std::atomic<int> gone = 0;
+
+private:
+    loop_thread m_thread;
+    http_server m_server;
+};
+
+std::string readBody(http_connection &connection)
+{
+    Poco::Net::HTTPResponse head;
+    CPPUNIT_ASSERT(connection.readHead(head));
+    std::string body;
+    CPPUNIT_ASSERT(connection.readBody(head, [&](std::string_view part) { body += part; }));
+    return body;
+}
+
+} // namespace
+
+class http_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(pipelinedRequestsRunTogetherAndAreAnsweredInOrder);
+    CPPUNIT_TEST(noticesThatTheCallerLeft);
+    CPPUNIT_TEST(rejectsMalformedAndTooLargeRequests);
+    CPPUNIT_TEST(stopAnswersEverythingBeforeItCloses);
+    CPPUNIT_TEST(boundsBufferedBodies);
+    CPPUNIT_TEST(abortedResponseIsNoAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against answers in the order of completion, which belong to other requests.
+    void pipelinedRequestsRunTogetherAndAreAnsweredInOrder()
+    {
+        held_server server;
+        http_connection connection(server.connect());
+        connection.send(request("/hold1") + request("/hold2") + request("/now"));
+        waitUntil("both are held", [&] { return server.heldCount == 2; });
+        server.thread().call([&] { server.held[1]->respond(200, {}, "second"); });
+        CPPUNIT_ASSERT(!connection.waitReadable(50ms));
+        server.thread().call([&] { server.held[0]->respond(200, {}, "first"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), readBody(connection));
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), readBody(connection));
+        CPPUNIT_ASSERT_EQUAL(std::string("/now"), readBody(connection));
+    }
+
+    // Guards against work that goes on for a caller that has left, also behind other requests.
+    void noticesThatTheCallerLeft()
+    {
+        held_server server;
+        {
+            http_connection connection(server.connect());
+            connection.send(request("/hold1") + request("/hold2"));
+            waitUntil("both are held", [&] { return server.heldCount == 2; });
+            connection.reset();
+        }
+        waitUntil("the caller's end is noticed", [&] { return server.gone == 2; });
+        server.thread().call([&] {
+            for (const exchange_pointer &exchange : server.held)
+                exchange->respond(200, {}, "late");
+        });
+        CPPUNIT_ASSERT_EQUAL(200, exchange(server.address(), {}).status);
+    }
+
+    void rejectsMalformedAndTooLargeRequests()
+    {
+        http_server_options options;
+        options.maxBodyBytes = 100;
+        held_server server(options);
+        for (const char *text :
+             {"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+              "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n",
+              "GET / HTTP/1.1\nHost: h\r\n\r\n"}) {
+            http_connection connection(server.connect());
+            connection.send(text);
+            Poco::Net::HTTPResponse head;
+            CPPUNIT_ASSERT_MESSAGE(text, connection.readHead(head));
+            CPPUNIT_ASSERT_EQUAL(400, static_cast<int>(head.getStatus()));
+        }
+        http_connection connection(server.connect());
+        connection.send(request("/", "Content-Length: 101\r\n"));
+        Poco::Net::HTTPResponse head;
+        CPPUNIT_ASSERT(connection.readHead(head));
+        CPPUNIT_ASSERT_EQUAL(413, static_cast<int>(head.getStatus()));
+    }
+
+    // Guards against a planned stop that closes a connection with requests behind the response.
+    void stopAnswersEverythingBeforeItCloses()
+    {
+        held_server server;
+        http_connection connection(server.connect());
+        connection.send(request("/hold1") + request("/hold2"));
+        waitUntil("both are held", [&] { return server.heldCount == 2; });
+        server.thread().call([&] {
+            server.server().announceStop();
+            server.held[0]->respond(200, {}, "first");
+            server.held[1]->respond(200, {}, "second");
+        });
+        Poco::Net::HTTPResponse head;
+        CPPUNIT_ASSERT(connection.readHead(head));
+        CPPUNIT_ASSERT(head.get("Connection", "") != "close");
+        std::string body;
+        connection.readBody(head, [&](std::string_view part) { body += part; });
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), body);
+        Poco::Net::HTTPResponse last;
+        CPPUNIT_ASSERT(connection.readHead(last));
+        CPPUNIT_ASSERT_EQUAL(std::string("close"), last.get("Connection", ""));
+        connection.readBody(last, [](std::string_view) {});
+        CPPUNIT_ASSERT(connection.waitPeerLeft(10s));
+    }
+
+    void boundsBufferedBodies()
+    {
+        http_server_options options;
+        options.maxBufferedBytes = 1'000;
+        held_server server(options);
+        http_connection first(server.connect());
+        first.send(request("/hold", "Content-Length: 900\r\n") + std::string(900, 'x'));
+        waitUntil("the first is held", [&] { return server.heldCount == 1; });
+        http_connection second(server.connect());
+        second.send(request("/", "Content-Length: 900\r\n") + std::string(900, 'y'));
+        Poco::Net::HTTPResponse head;
+        CPPUNIT_ASSERT(second.readHead(head));
+        CPPUNIT_ASSERT_EQUAL(503, static_cast<int>(head.getStatus()));
+        server.thread().call([&] { server.held[0]->respond(200, {}, "ok"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), readBody(first));
+        http_connection third(server.connect());
+        third.send(request("/x", "Content-Length: 3\r\n") + "abc");
+        CPPUNIT_ASSERT_EQUAL(std::string("/xabc"), readBody(third));
+    }
+
+    void abortedResponseIsNoAnswer()
+    {
+        held_server server;
+        http_connection connection(server.connect());
+        connection.send(request("/hold"));
+        waitUntil("it is held", [&] { return server.heldCount == 1; });
+        server.thread().call([&] { server.held[0]->abort(); });
+        CPPUNIT_ASSERT(connection.waitPeerLeft(10s));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
--- /dev/null
+++ b/tests/platform/platform_formats_test.cc
@@ -0,0 +1,164 @@
+#include "control/control_state.h"
+#include "platform/instance_list.h"
+#include "platform/json_values.h"
+#include "platform/platform_routing.h"
+#include "platform/platform_settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string document = R"({"version":7,
+ "routes":{"columns":["name","host","path_prefix","kind","timeout","target_latency","priority",
+   "service","max_attempts","sticky_sessions","home_regions","traffic_split","unheard_of"],
+  "rows":[["a","h","/a/","unsafe","2500ms","0.6s",1,"s",2,true,["x"],null,{}],
+          ["b","h","/b/","safe","2s","500ms",2,null,3,false,[],
+           [{"service":"s","weight":90},{"service":"t","weight":10}],null],
+          ["c","h","/c/","upload",null,null,0,"t",null,null,null,null,null]]},
+ "services":{"columns":["name","health_path","max_conns","protocol","tls","cold_start","cold_per_s"],
+  "rows":[["s","/health",360,"h1",false,"3s",7.8],["t","/health",360,"h1",false,"3s",7.8]]},
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout":"3000ms",
+  "idle_timeout":"15s"}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto at = text.find(from);
+    CPPUNIT_ASSERT_MESSAGE(from, at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+void checkText(const std::string &text)
+{
+    checkRouting(platform_routing_codec().decode(text));
+}
+
+} // namespace
+
+class platform_formats_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_formats_test);
+    CPPUNIT_TEST(readsTimes);
+    CPPUNIT_TEST(readsRouting);
+    CPPUNIT_TEST(rejectsInvalidRouting);
+    CPPUNIT_TEST(everyCutOfADocumentIsRejected);
+    CPPUNIT_TEST(leavesOutForeignInstances);
+    CPPUNIT_TEST(readsSettings);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsTimes()
+    {
+        CPPUNIT_ASSERT(parsePlatformTime("1500ms") == 1500ms);
+        CPPUNIT_ASSERT(parsePlatformTime("2.5s") == 2500ms);
+        CPPUNIT_ASSERT(parsePlatformTime("0ms") == 0ms);
+        for (const char *text : {"", "5", "ms", "5m", "5 s", "1e400s", "nans"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parsePlatformTime(text));
+    }
+
+    void readsRouting()
+    {
+        const routing_document read = platform_routing_codec().decode(document);
+        checkRouting(read);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read.version);
+        CPPUNIT_ASSERT(read.routes[0].kind == request_kind::non_idempotent);
+        CPPUNIT_ASSERT(read.routes[0].timeout == 2500ms && read.routes[0].latencyTarget == 600ms);
+        CPPUNIT_ASSERT(read.routes[0].homeRegions == std::vector<std::string>{"x"});
+        CPPUNIT_ASSERT(read.routes[1].kind == request_kind::idempotent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.routes[1].services.size());
+        // Uploads may run once at most, like everything that is not known to be repeatable.
+        CPPUNIT_ASSERT(read.routes[2].kind == request_kind::non_idempotent);
+        CPPUNIT_ASSERT_EQUAL(1U, read.routes[2].maxAttempts);
+        CPPUNIT_ASSERT(read.services[0].coldPeriod == 3s);
+        CPPUNIT_ASSERT(read.limits.idleTimeout == 15s);
+    }
+
+    // Guards against an invalid document that is acknowledged.
+    void rejectsInvalidRouting()
+    {
+        const std::vector<std::pair<std::string, std::string>> faults = {
+            {"\"s\",2,true", "\"gone\",2,true"}, // unknown service
+            {"\"/b/\"", "\"/a/\""}, // same place
+            {"90", "0.0"}, // weights below
+            {"\"2500ms\"", "\"601s\""}, // longer than ten minutes
+            {"\"2500ms\"", "2500"}, // not a time
+            {"\"weight\":10", "\"weight\":-1"},
+            {"\"/b/\"", "\"/b\""},
+            {"\"version\":7", "\"version\":-7"},
+            {"\"version\":7", "\"version\":\"7\""},
+            {"\"rows\":[[\"a\"", "\"rows\":[[1,\"a\""},
+        };
+        for (const auto &[from, to] : faults) {
+            std::string text = replaced(document, from, to);
+            if (to == "0.0")
+                text = replaced(text, "\"weight\":10", "\"weight\":0");
+            CPPUNIT_ASSERT_THROW_MESSAGE(to, checkText(text), settings_error);
+        }
+    }
+
+    void everyCutOfADocumentIsRejected()
+    {
+        for (std::size_t size = 0; size < document.size(); ++size)
+            CPPUNIT_ASSERT_THROW(checkText(document.substr(0, size)), settings_error);
+    }
+
+    // Guards against one bad entry that makes the others unusable, or is used itself.
+    void leavesOutForeignInstances()
+    {
+        const std::string good
+            = R"("i-1":{"service":"s","address":"10.0.0.1:80","zone":"z",)"
+              R"("version":"v1","slots":4,"state":"ready","cold_remaining":"2s",)"
+              R"("born":1790332950000})";
+        const std::string page = R"({"instances":{)" + good
+            + R"(,
+            "i-2":{"service":"s","address":"10.0.0.2:80","zone":"z","slots":4,"state":"draining"},
+            "i-3":{"service":"s","address":"10.0.0.3:80","zone":"z","slots":4,"state":"unheard"},
+            "i-4":{"service":"s","address":"10.0.0.4:80","zone":"z","slots":"4","state":"ready"},
+            "i-5":{"service":7,"address":"10.0.0.5:80","zone":"z","slots":4,"state":"ready"},
+            "i-6":"text","i-7":null,
+            "i-8":{"service":"s","address":"nowhere","zone":"z","slots":4,"state":"ready"},
+            "i-9":{"service":"s)"
+              "\xff\xfe"
+              R"(","address":"10.0.0.9:80","zone":"z","slots":4,)"
+              R"("state":"ready"},"i-10":{"service":"s","zone":"z","slots":4,"state":"ready"}},
+            "next_token":"p-50"})";
+        const instance_page read = parseInstancePage(page);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.upstreams.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), read.upstreams[0].id);
+        CPPUNIT_ASSERT(read.upstreams[0].coldFor == 2s);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1790332950000}, read.upstreams[0].startedMs);
+        CPPUNIT_ASSERT(read.upstreams[1].isDraining);
+        CPPUNIT_ASSERT_EQUAL(std::string("p-50"), read.next);
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             parseInstancePage(R"({"instances":{},"next_token":null})").next);
+        CPPUNIT_ASSERT_THROW(parseInstancePage("{\"instances\":"), control_error);
+    }
+
+    void readsSettings()
+    {
+        const node_settings read = parsePlatformSettings(R"({"node_name":"n","ip":"10.1.0.12",
+            "zone":"a-1","region":"a","zones":{"a-1":"a","b-1":"b"},"unheard":{"x":1},
+            "listen":{"front":"10.1.0.12:8144","ready":"10.1.0.12:8140"},
+            "internal_ports":[7660,7675],"seeds":["10.1.0.14:8146","10.2.0.24:8146"],
+            "bootstrap":true,"data_dir":null,"bounds":{"grace":"6s","ttl_max":"5s",
+            "retry_budget_ratio":0.3,"budget_window":"9s","retry_budget_slack":62,
+            "cold_overage":1.5,"cold_slack":5,"max_region_shift":0.1},
+            "cloud":{"address":"10.200.0.4:8142","rate_per_s":52.0}})");
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), read.regionOfDomain.at("b-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.seedHosts.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8146}, read.controlPort);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7661}, read.metricsPort());
+        CPPUNIT_ASSERT(read.retryWindow == 9s && read.retryShare == 0.3);
+        CPPUNIT_ASSERT(read.isFirstStart && read.dataFolder.empty());
+        for (const char *text :
+             {"", "[]", "{}", R"({"node_name":"n","ip":"1.2.3.4"})",
+              R"({"node_name":7,"ip":"1.2.3.4","internal_ports":[1],"seeds":[]})"})
+            CPPUNIT_ASSERT_THROW_MESSAGE(text, parsePlatformSettings(text), settings_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_formats_test);
--- /dev/null
+++ b/tests/steering/shared_budgets_test.cc
@@ -0,0 +1,180 @@
+#include "steering/cold_gate.h"
+#include "steering/region_share.h"
+#include "steering/retry_budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start(1000s);
+
+std::vector<peer_instance> instancesIn(std::size_t count)
+{
+    std::vector<peer_instance> result;
+    for (std::size_t i = 0; i < count; ++i)
+        result.push_back({fmt::format("entry-{}", i), i % 3 == 0 ? "near" : "far"});
+    return result;
+}
+
+// Largest number of times within any window of `length` that starts at one of them.
+std::size_t mostWithin(std::vector<steady_time> times, std::chrono::milliseconds length)
+{
+    std::ranges::sort(times);
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; first < times.size(); ++first) {
+        while (last < times.size() && times[last] - times[first] < length)
+            ++last;
+        most = std::max(most, last - first);
+    }
+    return most;
+}
+
+} // namespace
+
+// Budgets that all entry instances share without asking each other.
+class shared_budgets_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(shared_budgets_test);
+    CPPUNIT_TEST(coldUpstreamsStayWithinTheirRate);
+    CPPUNIT_TEST(unknownInstancesGiveNoSeat);
+    CPPUNIT_TEST(repeatsStayWithinTheBudgetOfAll);
+    CPPUNIT_TEST(regionSharesMoveByAStepAtMost);
+    CPPUNIT_TEST(lostRegionMovesEverything);
+    CPPUNIT_TEST(shareMovesFewObjects);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a cold upstream that crashes because every instance sends it its first
+    // requests.
+    void coldUpstreamsStayWithinTheirRate()
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            std::mt19937_64 random(seed);
+            const auto instances = instancesIn(1 + random() % 80);
+            const double bound = 2 + static_cast<double>(random() % 30);
+            std::vector<cold_gate> gates(instances.size());
+            std::vector<steady_time> sent;
+            for (auto now = start; now < start + 5s; now += 3ms) {
+                const std::size_t who = random() % instances.size();
+                const std::uint32_t share
+                    = coldShare(instances, instances[who].name, "upstream", "near", bound);
+                if (gates[who].tryTake(now, share))
+                    sent.push_back(now);
+            }
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
+                                   static_cast<double>(mostWithin(sent, 1s)) <= bound);
+            if (bound >= 4)
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: no seat", seed), !sent.empty());
+        }
+    }
+
+    void unknownInstancesGiveNoSeat()
+    {
+        CPPUNIT_ASSERT_EQUAL(0U, coldShare({}, "entry-0", "upstream", "near", 20));
+        CPPUNIT_ASSERT_EQUAL(0U, coldShare(instancesIn(3), "other", "upstream", "near", 20));
+    }
+
+    // Guards against retries of many instances that together exceed what one of them may add.
+    void repeatsStayWithinTheBudgetOfAll()
+    {
+        constexpr auto window = 10s;
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            std::mt19937_64 random(seed);
+            const std::size_t count = 1 + random() % 12;
+            const retry_budget::limits limits{0.2, 60, window};
+            std::vector<retry_budget> budgets(count, retry_budget(limits));
+            std::vector<steady_time> requests;
+            std::vector<steady_time> repeats;
+            for (auto now = start; now < start + 25s; now += 20ms) {
+                retry_budget &budget = budgets[random() % count];
+                budget.recordRequest(now);
+                requests.push_back(now);
+                // Everything fails: each request would be repeated several times.
+                for (int i = 0; i < 3; ++i)
+                    if (budget.tryTake(now, count))
+                        repeats.push_back(now);
+            }
+            const double bound = 0.2 * static_cast<double>(mostWithin(requests, window)) + 60;
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
+                                   static_cast<double>(mostWithin(repeats, window)) <= bound);
+            CPPUNIT_ASSERT(!repeats.empty());
+        }
+    }
+
+    void regionSharesMoveByAStepAtMost()
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            std::mt19937_64 random(seed);
+            region_share::limits limits;
+            region_share share("a", limits);
+            std::map<std::string, region_state> regions
+                = {{"a", {8, 0}}, {"b", {32, 0}}, {"c", {40, 0}}};
+            share.update(regions, start);
+            auto before = share.shares();
+            for (auto now = start; now < start + 60s; now += 200ms) {
+                for (auto &[region, state] : regions)
+                    state.utilization = static_cast<double>(random() % 300) / 100;
+                share.update(regions, now);
+                double moved = 0;
+                double total = 0;
+                for (const auto &[region, value] : share.shares()) {
+                    moved += std::abs(value - before[region]);
+                    total += value;
+                    CPPUNIT_ASSERT(value >= -1e-9);
+                }
+                // A move between two other regions counts once for each.
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
+                                       moved <= 2 * limits.step + 1e-9);
+                CPPUNIT_ASSERT(total <= 1 + 1e-9);
+                before = share.shares();
+            }
+        }
+    }
+
+    void lostRegionMovesEverything()
+    {
+        region_share share("a", {});
+        std::map<std::string, region_state> regions = {{"a", {8, 0.2}}, {"b", {32, 0.2}}};
+        share.update(regions, start);
+        regions["a"].slots = 0;
+        share.update(regions, start + 10ms);
+        for (std::uint64_t object = 0; object < 100; ++object)
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), share.choose(object));
+        regions["a"].slots = 8;
+        share.update(regions, start + 20ms);
+        CPPUNIT_ASSERT(share.shares().at("b") < 1);
+    }
+
+    // Guards against a small change of shares that sends most objects to upstreams that do not have
+    // them warm.
+    void shareMovesFewObjects()
+    {
+        region_share share("a", {});
+        std::map<std::string, region_state> regions
+            = {{"a", {32, 1.5}}, {"b", {32, 0.1}}, {"c", {32, 0.1}}};
+        share.update(regions, start);
+        constexpr std::uint64_t objects = 4'000;
+        std::vector<std::string> before;
+        for (std::uint64_t object = 0; object < objects; ++object)
+            before.push_back(share.choose(object));
+        CPPUNIT_ASSERT(share.update(regions, start + 3s));
+        std::size_t moved = 0;
+        for (std::uint64_t object = 0; object < objects; ++object)
+            moved += share.choose(object) == before[object] ? 0 : 1;
+        CPPUNIT_ASSERT(moved > 0);
+        CPPUNIT_ASSERT(static_cast<double>(moved) / objects < 2 * region_share::limits().step);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shared_budgets_test);
