Mend what the linter finds; give up a slow upstream's estimate after 4 s

An upstream that was slow once got nothing more, so its estimate never recovered: it is forgotten after 4 s without a response.

--- a/src/base/stdout_event_log.cc
+++ b/src/base/stdout_event_log.cc
@@ -5,7 +5,7 @@
 
 namespace buckthorngrade {
 
-stdout_event_log::stdout_event_log(std::string instance, log_level minimum, int descriptor)
+stdout_event_log::stdout_event_log(const std::string &instance, log_level minimum, int descriptor)
     : m_suffix(fmt::format(" instance={}\n", escapeLogValue(instance)))
     , m_minimum(minimum)
     , m_descriptor(descriptor)
--- a/src/base/stdout_event_log.h
+++ b/src/base/stdout_event_log.h
@@ -18,7 +18,7 @@
     static constexpr std::size_t maxWaitingBytes = 256 * 1024;
 
     // `instance` is added to every line. Makes the descriptor non-blocking.
-    stdout_event_log(std::string instance, log_level minimum, int descriptor);
+    stdout_event_log(const std::string &instance, log_level minimum, int descriptor);
     ~stdout_event_log() override;
 
     std::uint64_t dropped() const { return m_dropped; }
--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -227,8 +227,8 @@
             const std::string *echoed = head.find(m_owner.m_protocol.requestId);
             return echoed == nullptr || *echoed == m_id;
         };
-    call.onResponse = [self = shared_from_this()](client_response response) {
-        self->handleResponse(std::move(response));
+    call.onResponse = [self = shared_from_this()](const client_response &response) {
+        self->handleResponse(response);
     };
     call.onFailure
         = [self = shared_from_this()](call_failure failure) { self->handleFailure(failure); };
@@ -260,7 +260,7 @@
         || response.head.find(m_owner.m_protocol.notRun) != nullptr;
 }
 
-void carried_request::handleResponse(client_response response)
+void carried_request::handleResponse(const client_response &response)
 {
     m_owner.m_loop.cancel(m_connectTimer);
     const steady_time now = m_owner.m_loop.now();
@@ -313,7 +313,7 @@
             return;
         }
     }
-    deliver(std::move(response));
+    deliver(response);
 }
 
 void carried_request::handleFailure(call_failure failure)
@@ -424,10 +424,10 @@
     m_client.reset();
 }
 
-void carried_request::deliver(client_response response)
+void carried_request::deliver(const client_response &response)
 {
     http_fields fields;
-    for (auto &[name, value] : response.head.fields)
+    for (const auto &[name, value] : response.head.fields)
         if (!isConnectionField(response.head, name))
             fields.emplace_back(name, value);
     if (m_owner.m_log.admits(event_id::request_answered))
@@ -439,7 +439,7 @@
                              {"version", m_routes->document().version},
                              {"left_ms", timeLeft().count()}});
     finish();
-    m_exchange->respond(response.head.status, fields, std::move(response.body));
+    m_exchange->respond(response.head.status, fields, response.body);
 }
 
 void carried_request::answerOwn(int status, const char *reason)
--- a/src/carrier/carried_request.h
+++ b/src/carrier/carried_request.h
@@ -28,7 +28,7 @@
 private:
     void attempt();
     void send();
-    void handleResponse(client_response response);
+    void handleResponse(const client_response &response);
     void handleFailure(call_failure failure);
     void handleConnectTimeout();
     void handleTimeout();
@@ -38,7 +38,7 @@
     // upstream.
     bool mayRepeat(bool arrived);
     void repeatOrAnswer(int status, const char *reason, bool arrived);
-    void deliver(client_response response);
+    void deliver(const client_response &response);
     // Answers without an upstream's response.
     void answerOwn(int status, const char *reason);
     void finish();
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -92,7 +92,7 @@
     m_instances = std::move(instances);
 }
 
-void carrier::setRegionLoads(std::vector<wire::region_load> loads)
+void carrier::setRegionLoads(const std::vector<wire::region_load> &loads)
 {
     m_sharedLoads.clear();
     for (const wire::region_load &load : loads)
@@ -220,7 +220,7 @@
         candidate.hash = upstream->hash;
         candidate.slots = std::max(1U, upstream->listed.slots);
         candidate.load = upstream->estimatedLoad(now);
-        candidate.serviceTime = upstream->serviceMs > 0
+        candidate.serviceTime = upstream->isServiceTimeKnown(now)
             ? std::chrono::duration<double, std::milli>(upstream->serviceMs)
             : request.latencyTarget * assumedWorkShare;
         candidate.failureShare = upstream->estimatedFailureShare(now);
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -44,7 +44,7 @@
     void setEvacuated(std::set<std::string> domains);
     void setUpstreams(const upstream_listing &listing);
     void setInstances(std::vector<peer_instance> instances);
-    void setRegionLoads(std::vector<wire::region_load> loads);
+    void setRegionLoads(const std::vector<wire::region_load> &loads);
     // From now on new requests are refused.
     void stopTaking() { m_isStopping = true; }
 
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -14,7 +14,7 @@
 // What other instances had under way when the upstream reported fades with the length of a request.
 constexpr real_seconds foreignLoadLife{1.0};
 constexpr real_seconds failureLife{2.0}; // of an estimate of failures without new attempts
-constexpr real_seconds slowLife{4.0}; // of an estimate of slowness without new responses
+constexpr std::chrono::seconds serviceTimeLife{4}; // of an estimate without new responses
 constexpr double smoothing = 0.2; // weight of a new sample
 constexpr std::chrono::milliseconds firstEjection{400};
 constexpr std::chrono::milliseconds longestEjection{3'000};
@@ -56,6 +56,11 @@
     return failureShare * fade(failureShareAt, now, failureLife);
 }
 
+bool upstream_state::isServiceTimeKnown(steady_time now) const
+{
+    return serviceMs > 0 && now - serviceMsAt < serviceTimeLife;
+}
+
 bool upstream_state::isWarmFor(std::uint64_t object, steady_time now) const
 {
     const auto found = handled.find(object);
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -57,6 +57,8 @@
     // Requests that it runs or queues, estimated from its last report and the own ones.
     double estimatedLoad(steady_time now) const;
     double estimatedFailureShare(steady_time now) const;
+    // A slow upstream gets little, so its estimate is given up after a while to try it again.
+    bool isServiceTimeKnown(steady_time now) const;
     bool isWarmFor(std::uint64_t object, steady_time now) const;
     void recordHandled(std::uint64_t object, steady_time now);
     void recordOutcome(bool failed, steady_time now);
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -65,7 +65,7 @@
           events)
     , m_lister(upstreamSource, *m_replica, clock, events, metrics)
     , m_sync(*m_replica, m_state, m_lister, m_roster, clock)
-    , m_routing(*m_replica, m_state, codec, clock, events)
+    , m_routing(*m_replica, m_state, codec, events)
     , m_server(startGrpcServer(replicaAddress(settings, ipv4FromString(settings.host)),
                                {&m_deliver, &m_sync}))
     , m_listDuty(
--- a/src/control/routing_service.cc
+++ b/src/control/routing_service.cc
@@ -5,11 +5,10 @@
 namespace buckthorngrade {
 
 routing_service::routing_service(replicator &log, control_state &state, const routing_codec &codec,
-                                 const clock_source &clock, event_log &events)
+                                 event_log &events)
     : m_log(log)
     , m_state(state)
     , m_codec(codec)
-    , m_clock(clock)
     , m_events(events)
 { }
 
@@ -66,7 +65,7 @@
     wire::command command;
     command.mutable_routing()->set_version(version);
     command.mutable_routing()->set_text(std::string(text));
-    const order_result result = submit(command, "routing");
+    order_result result = submit(command, "routing");
     if (result.outcome == order_result::status::accepted)
         m_events.write(event_id::routing_accepted,
                        {{"version", version}, {"in_force", m_state.routingVersion()}});
@@ -80,7 +79,7 @@
     wire::command command;
     command.mutable_evacuation()->set_failure_domain(failureDomain);
     command.mutable_evacuation()->set_active(active);
-    const order_result result = submit(command, "evacuation");
+    order_result result = submit(command, "evacuation");
     if (result.outcome == order_result::status::accepted)
         m_events.write(event_id::evacuation_accepted,
                        {{"domain", failureDomain}, {"active", active}});
--- a/src/control/routing_service.h
+++ b/src/control/routing_service.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "agreement/replicator.h"
-#include "base/clock.h"
 #include "base/event_log.h"
 #include "control/control_state.h"
 #include "model/routing_document.h"
@@ -43,7 +42,7 @@
 
     // All references must outlive this. `log` must drive `state`.
     routing_service(replicator &log, control_state &state, const routing_codec &codec,
-                    const clock_source &clock, event_log &events);
+                    event_log &events);
 
     // A document that is not above the version in force is accepted and changes nothing.
     order_result putRouting(std::string_view text);
@@ -58,7 +57,6 @@
     replicator &m_log;
     control_state &m_state;
     const routing_codec &m_codec;
-    const clock_source &m_clock;
     event_log &m_events;
 };
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -115,7 +115,7 @@
 
 void http_client::finish()
 {
-    client_response response = std::move(*m_response);
+    const client_response response = std::move(*m_response);
     m_response.reset();
     if (m_isSkipping) {
         m_isSkipping = false;
@@ -127,7 +127,7 @@
     m_call.reset();
     if (!m_isReusable)
         m_socket.close();
-    ended.onResponse(std::move(response));
+    ended.onResponse(response);
 }
 
 void http_client::fail(call_failure failure)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -39,7 +39,7 @@
         bool isHead = false;
         // Returns whether a response belongs to this call; empty: all do.
         std::function<bool(const http_head &)> matches;
-        std::function<void(client_response)> onResponse;
+        std::function<void(const client_response &)> onResponse;
         std::function<void(call_failure)> onFailure;
     };
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -35,7 +35,7 @@
     return text;
 }
 
-void server_exchange::respond(int status, const http_fields &fields, std::string responseBody)
+void server_exchange::respond(int status, const http_fields &fields, std::string_view responseBody)
 {
     if (m_isFinished)
         return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -31,7 +31,7 @@
 
     // Sends the response once those to earlier requests on the connection are sent. Connection and
     // Content-Length are added; `fields` must not contain them. Later calls have no effect.
-    void respond(int status, const http_fields &fields, std::string body);
+    void respond(int status, const http_fields &fields, std::string_view responseBody);
     // Closes the connection in place of a response.
     void abort();
     bool isFinished() const { return m_isFinished; }
