Ask one control instance for details; keep large bodies in their region

Change: details (routing text, instances, loads) are sent only to the one that asks for them, the nearest; a request with a body above 16 KB counts its own region eight times more.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -182,7 +182,8 @@
 
 void carried_request::attempt()
 {
-    const carrier::choice chosen = m_owner.choose(*m_route, m_service, m_affinity, m_tried);
+    const carrier::choice chosen
+        = m_owner.choose(*m_route, m_service, m_affinity, m_exchange->body.size(), m_tried);
     if (!chosen.upstream) {
         answerOwn(m_mayHaveRun ? badGateway : unavailable, chosen.reason);
         return;
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -19,6 +19,9 @@
 // A connection across failure domains costs more than the round trip that a request needs anyway.
 constexpr std::chrono::duration<double, std::milli> otherDomainTrip{8};
 constexpr std::chrono::duration<double, std::milli> otherRegionTrip{115};
+// Links between regions are thin and dear: a large body costs more there than a cold start.
+constexpr std::size_t largeBody = 16 * 1024;
+constexpr double largeBodyBoost = 8;
 constexpr int urgentPriority = 1; // and below: 0 is the highest
 constexpr double ordinaryPatience = 3.0; // multiples of the latency target
 constexpr double urgentPatience = 4.0;
@@ -175,7 +178,7 @@
 }
 
 carrier::choice carrier::choose(const route &route, const std::string &service,
-                                const std::optional<std::uint64_t> &affinity,
+                                const std::optional<std::uint64_t> &affinity, std::size_t bodyBytes,
                                 const std::set<std::string> &excluded)
 {
     const steady_time now = m_loop.now();
@@ -201,7 +204,8 @@
         return {nullptr, "only cold upstreams"};
 
     const std::uint64_t random = m_random();
-    const std::string &region = stateOf(service).share.choose(affinity.value_or(random));
+    const std::string &region = stateOf(service).share.choose(
+        affinity.value_or(random), bodyBytes > largeBody ? largeBodyBoost : 1);
     const auto isElsewhere
         = [&](const upstream_state *upstream) { return upstream->region != region; };
     const auto isAway
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -70,7 +70,7 @@
     };
     // Picks the upstream for an attempt; upstreams in `excluded` were tried before.
     choice choose(const route &route, const std::string &service,
-                  const std::optional<std::uint64_t> &affinity,
+                  const std::optional<std::uint64_t> &affinity, std::size_t bodyBytes,
                   const std::set<std::string> &excluded);
     service_state &stateOf(const std::string &service);
     void updateShares();
--- a/src/carrier/control_client.cc
+++ b/src/carrier/control_client.cc
@@ -88,11 +88,11 @@
     }
 }
 
-void control_client::poll(const wire::node_report &report, const std::string &routingFrom)
+void control_client::poll(const wire::node_report &report, const std::string &detailsFrom)
 {
     for (const auto &[host, to] : m_peers)
         if (!to->isBusy)
-            start(*to, report, host == routingFrom);
+            start(*to, report, host == detailsFrom);
 }
 
 void control_client::pollOne(const wire::node_report &report, const std::string &host)
@@ -111,12 +111,12 @@
     return result;
 }
 
-void control_client::start(peer &to, const wire::node_report &report, bool wantsRouting)
+void control_client::start(peer &to, const wire::node_report &report, bool wantsDetails)
 {
     to.isBusy = true;
     auto call = std::make_shared<call_state>();
     call->report = report;
-    call->report.set_wants_routing(wantsRouting);
+    call->report.set_wants_details(wantsDetails);
     call->context.set_deadline(std::chrono::system_clock::now() + callTimeout);
     ++*m_underWay;
     to.stub->async()->Sync(&call->context, &call->report, call->view.get(),
--- a/src/carrier/control_client.h
+++ b/src/carrier/control_client.h
@@ -37,9 +37,9 @@
 
     // Control instances by IPv4 address.
     void setHosts(const std::set<std::string> &hosts);
-    // Sends `report` to every instance that has no call under way. `routingFrom` is the one that is
-    // asked for the text of a newer routing document.
-    void poll(const wire::node_report &report, const std::string &routingFrom);
+    // Sends `report` to every instance that has no call under way. `detailsFrom` is the one that is
+    // asked for the details: a newer routing document, the other instances and the loads.
+    void poll(const wire::node_report &report, const std::string &detailsFrom);
     // Sends `report` to one instance, if it has no call under way.
     void pollOne(const wire::node_report &report, const std::string &host);
     // Hosts that answered their last call.
@@ -50,7 +50,7 @@
     struct peer;
     struct call_state;
 
-    void start(peer &to, const wire::node_report &report, bool wantsRouting);
+    void start(peer &to, const wire::node_report &report, bool wantsDetails);
     void finished(const std::string &host, std::uint64_t generation, bool works,
                   const std::string &reason, const std::shared_ptr<wire::node_view> &view);
     void reconnect(peer &to);
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -16,7 +16,6 @@
 constexpr std::chrono::milliseconds stopTakingAfter{2'800};
 constexpr std::chrono::milliseconds stopCheckPeriod{50};
 constexpr std::chrono::milliseconds stopMargin{500}; // before the process would be killed
-// A view that a control instance cannot back with a leader may be old, so its list counts less.
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -145,10 +144,8 @@
         std::vector<peer_instance> instances;
         for (const wire::node_entry &entry : view.entries())
             instances.push_back({entry.instance(), entry.region()});
-        if (host == nearestControl()) {
-            m_carrier.setInstances(std::move(instances));
-            m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
-        }
+        m_carrier.setInstances(std::move(instances));
+        m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
     }
     updateReadiness();
 }
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -58,8 +58,6 @@
     std::uint64_t m_evacuationRevision = 0;
     std::uint64_t m_listingDigest = 0;
     steady_time m_listingReadAt = steady_time::min();
-    steady_time m_loadsAt = steady_time::min();
-    std::string m_loadsFrom;
     bool m_isReady = false;
     bool m_isStopping = false;
     std::function<void()> m_onStopped;
--- a/src/control/node_sync_service.cc
+++ b/src/control/node_sync_service.cc
@@ -24,7 +24,7 @@
         if (member.voter)
             view->add_voters(member.id);
     view->set_routing_version(m_state.routingVersion());
-    if (report->wants_routing() && view->routing_version() > report->routing_version()) {
+    if (report->wants_details() && view->routing_version() > report->routing_version()) {
         wire::put_routing routing = m_state.routing();
         view->set_routing_version(routing.version());
         view->set_routing_text(std::move(*routing.mutable_text()));
@@ -34,15 +34,21 @@
     if (evacuated.revision != report->evacuation_revision())
         for (const std::string &domain : evacuated.domains)
             view->add_evacuated(domain);
+    if (report->wants_details())
+        addInstances(now, *view);
+    addListing(*report, *view);
+    return grpc::Status::OK;
+}
+
+void node_sync_service::addInstances(steady_time now, wire::node_view &view) const
+{
     for (const node_roster::entry &entry : m_roster.live(now)) {
-        wire::node_entry &added = *view->add_entries();
+        wire::node_entry &added = *view.add_entries();
         added.set_instance(entry.instance);
         added.set_region(entry.region);
     }
     for (wire::region_load &load : m_roster.loads(now))
-        *view->add_loads() = std::move(load);
-    addListing(*report, *view);
-    return grpc::Status::OK;
+        *view.add_loads() = std::move(load);
 }
 
 void node_sync_service::addListing(const wire::node_report &report, wire::node_view &view) const
--- a/src/control/node_sync_service.h
+++ b/src/control/node_sync_service.h
@@ -22,6 +22,7 @@
                       wire::node_view *view) override;
 
 private:
+    void addInstances(steady_time now, wire::node_view &view) const;
     void addListing(const wire::node_report &report, wire::node_view &view) const;
 
     const replica &m_log;
--- a/src/steering/region_share.cc
+++ b/src/steering/region_share.cc
@@ -113,13 +113,13 @@
     return true;
 }
 
-const std::string &region_share::choose(std::uint64_t hash) const
+const std::string &region_share::choose(std::uint64_t hash, double ownBoost) const
 {
     const auto scoreOf = [hash](const std::string &region, double share) {
         return -share / std::log(unitOf(combineHashes(hashOf(region), hash)));
     };
     const std::string *best = &m_own;
-    double bestScore = scoreOf(m_own, std::max(0.0, 1 - total()));
+    double bestScore = scoreOf(m_own, ownBoost * std::max(0.0, 1 - total()));
     for (const auto &[region, share] : m_shares) {
         const double score = scoreOf(region, share);
         if (score > bestScore) {
--- a/src/steering/region_share.h
+++ b/src/steering/region_share.h
@@ -44,7 +44,8 @@
     bool update(const std::map<std::string, region_state> &regions, steady_time now);
     // Region for a request with the hash of its object, or with random bits. A change of a share
     // moves only as many objects as it must (weighted rendezvous hashing).
-    const std::string &choose(std::uint64_t hash) const;
+    // `ownBoost` is a factor on the own region's weight, for requests that are costly to move.
+    const std::string &choose(std::uint64_t hash, double ownBoost = 1) const;
     // Share of each other region.
     const std::map<std::string, double> &shares() const { return m_shares; }
 
