--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -72,6 +72,8 @@
                            routeFor("/once/", request_kind::non_idempotent)};
         document.routes.push_back(routeFor("/short/", request_kind::non_idempotent));
         document.routes.back().timeout = 150ms;
+        document.routes.push_back(routeFor("/home/", request_kind::idempotent));
+        document.routes.back().homeRegions = {"other"};
         document.services = {{"s", "/health", 100, 3s, 1}};
         m_carrier.setUpstreams(listing);
         m_carrier.setRouting(std::make_shared<const route_table>(document));
@@ -157,6 +159,7 @@
     CPPUNIT_TEST(replacedUpstreamGetsNothingMore);
     CPPUNIT_TEST(drainingAndEvacuatedUpstreamsGetNothing);
     CPPUNIT_TEST(coldUpstreamGetsItsRateOnly);
+    CPPUNIT_TEST(routeWithHomesStaysThere);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
     CPPUNIT_TEST_SUITE_END();
 
@@ -359,6 +362,14 @@
         CPPUNIT_ASSERT(served <= 6 * static_cast<std::size_t>(seconds.count()));
     }
 
+    // Guards against data that leaves the regions in which it may be served.
+    void routeWithHomesStaysThere()
+    {
+        carrying system({answerOk});
+        CPPUNIT_ASSERT_EQUAL(503, system.send("/home/x").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, system.arrivals());
+    }
+
     void unknownRouteAndMissingDocument()
     {
         carrying system({answerOk});
