--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -18,6 +18,10 @@
 // Heartbeats come every 150 ms over links of at most 55 ms.
 constexpr std::chrono::milliseconds silenceLimit{1'200};
 
+// Four heartbeats and a round trip between regions. Orders, the list of upstreams and a restart of
+// the whole group wait for an election.
+constexpr std::chrono::milliseconds electionTimeout{700};
+
 std::string replicaAddress(const node_settings &settings, replica_id id)
 {
     return fmt::format("{}:{}", ipv4ToString(id), settings.replicaPort());
@@ -44,6 +48,7 @@
         && std::ranges::find(result.members, result.self) != result.members.end();
     result.keepsExisting = true;
     result.automaticMembers = control_node::maxMembers;
+    result.electionTimeout = electionTimeout;
     return result;
 }
 
