--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -96,7 +96,7 @@
 {
     fmt::print(output, "Usage: buckthorngrade COMMAND [ARGUMENT ...] [--FLAG=VALUE ...]\n\n");
     for (const command &each : commandTable())
-        fmt::print(output, "  {:<10}{}\n", each.name, each.help);
+        fmt::print(output, "  {:<17}{}\n", each.name, each.help);
     fmt::print(output, "\n{}", exitCodeHelp);
 }
 
