--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -26,7 +26,7 @@
 class held_server
 {
 public:
-    explicit held_server(http_server_options options = {})
+    explicit held_server(const http_server_options &options = {})
         : m_server(m_thread.loop(), {"127.0.0.1", 0}, options,
                    [this](const exchange_pointer &exchange) {
                        if (exchange->head.target.starts_with("/hold")) {
