--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -112,8 +112,7 @@
     return m_services
         .emplace(service,
                  service_state{retry_budget(budget),
-                               region_share(m_settings.region, shareLimits(m_settings)),
-                               {}})
+                               region_share(m_settings.region, shareLimits(m_settings))})
         .first->second;
 }
 
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -60,7 +60,6 @@
     {
         retry_budget budget;
         region_share share;
-        std::set<std::string> regions; // with usable upstreams, when last looked at
     };
 
     struct choice
--- a/src/carrier/carry_protocol.h
+++ b/src/carrier/carry_protocol.h
@@ -16,7 +16,6 @@
     std::string load = "Buckthorn-Load"; // "RUNNING,WAITING,SLOTS"
     std::string notRun = "Not-Run"; // the upstream did not run the request
     std::string seal = "Buckthorn-Seal"; // an upstream's signature of its answer
-    std::string coldMs = "Buckthorn-Cold-Ms"; // how long the upstream stays cold
 };
 
 } // namespace buckthorngrade
--- a/src/platform/platform_roles.cc
+++ b/src/platform/platform_roles.cc
@@ -33,7 +33,6 @@
     result.load = "X-Buckthorngrade-Server-Load";
     result.notRun = "X-Buckthorngrade-Not-Executed";
     result.seal = "X-Buckthorngrade-Server-Seal";
-    result.coldMs = "X-Buckthorngrade-Cold-Remaining-Ms";
     return result;
 }
 
