Send the list of upstreams as differences, and never an old one

A control instance that had read the list once, before another one led, kept it and sent it whole (14 KB for 190 upstreams) with every answer to every entry instance whose list was newer: five such instances, two polls a second, 140 KB/s on a link of 250 KB/s. Ruled out: the polls without a list (about 1 KB each).

Change: a report says how old the list in use is, and a control instance with an older reading sends nothing of it. Lists go as differences from the one in use. The end of a cold period is no change any more, and a second cold period during the first one is. Answered requests are logged with their object, upstream and the inputs of the choice, which is how the cause was found.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -102,6 +102,11 @@
     return std::nullopt;
 }
 
+std::int64_t elapsedMs(steady_time from, steady_time to)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
 std::string_view nameOf(call_failure failure)
 {
     switch (failure) {
@@ -161,8 +166,9 @@
     m_limit = m_deadline - deadlineMargin;
     if (m_route->timeout.count() > 0)
         m_limit = std::min(m_limit, m_exchange->arrival + m_route->timeout);
-    if (const auto object = cookieValue(head, m_owner.m_protocol.affinityCookie))
-        m_affinity = combineHashes(hashOf(m_route->name), hashOf(*object));
+    m_object = cookieValue(head, m_owner.m_protocol.affinityCookie);
+    if (m_object)
+        m_affinity = combineHashes(hashOf(m_route->name), hashOf(*m_object));
     m_service = m_owner.m_splitter.choose(*m_route);
     m_owner.stateOf(m_service).budget.recordRequest(m_owner.m_loop.now());
     if (timeLeft().count() <= 0) {
@@ -182,13 +188,12 @@
 
 void carried_request::attempt()
 {
-    const carrier::choice chosen
-        = m_owner.choose(*m_route, m_service, m_affinity, m_exchange->body.size(), m_tried);
-    if (!chosen.upstream) {
-        answerOwn(m_mayHaveRun ? badGateway : unavailable, chosen.reason);
+    m_choice = m_owner.choose(*m_route, m_service, m_affinity, m_exchange->body.size(), m_tried);
+    if (!m_choice.upstream) {
+        answerOwn(m_mayHaveRun ? badGateway : unavailable, m_choice.reason);
         return;
     }
-    m_upstream = chosen.upstream;
+    m_upstream = m_choice.upstream;
     m_tried.insert(m_upstream->listed.id);
     ++m_upstream->inFlight;
     const bool isIdempotent = m_route->kind == request_kind::idempotent;
@@ -436,6 +441,15 @@
                             {{"id", m_id},
                              {"route", m_route->name},
                              {"status", response.head.status},
+                             {"object", m_object.value_or("")},
+                             {"upstream", m_choice.upstream->listed.id},
+                             {"domain", m_choice.upstream->listed.failureDomain},
+                             {"first", m_choice.isFirst},
+                             {"warm", m_choice.isWarm},
+                             {"load", m_choice.load},
+                             {"expected_ms", static_cast<std::int64_t>(m_choice.expected.count())},
+                             {"sent_after_ms", elapsedMs(m_exchange->arrival, m_sentAt)},
+                             {"took_ms", elapsedMs(m_sentAt, m_owner.m_loop.now())},
                              {"attempts", m_attempts},
                              {"version", m_routes->document().version},
                              {"left_ms", timeLeft().count()}});
@@ -479,16 +493,13 @@
 void carried_request::logAttempt(std::string_view outcome)
 {
     if (m_upstream && m_owner.m_log.admits(event_id::attempt_failed))
-        m_owner.m_log.write(
-            event_id::attempt_failed,
-            {{"id", m_id},
-             {"upstream", m_upstream->listed.id},
-             {"domain", m_upstream->listed.failureDomain},
-             {"outcome", outcome},
-             {"attempt", m_attempts},
-             {"after_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(m_owner.m_loop.now() - m_sentAt)
-                  .count()}});
+        m_owner.m_log.write(event_id::attempt_failed,
+                            {{"id", m_id},
+                             {"upstream", m_upstream->listed.id},
+                             {"domain", m_upstream->listed.failureDomain},
+                             {"outcome", outcome},
+                             {"attempt", m_attempts},
+                             {"after_ms", elapsedMs(m_sentAt, m_owner.m_loop.now())}});
 }
 
 } // namespace buckthorngrade
--- a/src/carrier/carried_request.h
+++ b/src/carrier/carried_request.h
@@ -53,10 +53,12 @@
     const route *m_route = nullptr;
     std::shared_ptr<const route_table> m_routes; // keeps m_route valid
     std::string m_service;
-    std::optional<std::uint64_t> m_affinity;
+    std::optional<std::string> m_object; // what the caller names as the request's object
+    std::optional<std::uint64_t> m_affinity; // hash of the route and the object
     steady_time m_deadline; // of the caller
     steady_time m_limit; // when the final answer is due
     upstream_pointer m_upstream;
+    carrier::choice m_choice; // the last one
     std::unique_ptr<http_client> m_client;
     bool m_isReused = false; // the connection carried an earlier request
     steady_time m_sentAt;
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -189,7 +189,7 @@
                     == route.homeRegions.end());
     });
     if (usable.empty())
-        return {nullptr, "no usable upstream"};
+        return {.upstream = nullptr, .reason = "no usable upstream"};
     std::map<const upstream_state *, std::uint32_t> coldShares;
     std::erase_if(usable, [&](upstream_state *upstream) {
         if (!upstream->isCold(now))
@@ -200,7 +200,7 @@
         return !upstream->coldGate.isOpen(now, share);
     });
     if (usable.empty())
-        return {nullptr, "only cold upstreams"};
+        return {.upstream = nullptr, .reason = "only cold upstreams"};
 
     const std::uint64_t random = m_random();
     const std::string &region = stateOf(service).share.choose(
@@ -237,10 +237,14 @@
     upstream_state *chosen = usable[placed.index];
     // Without a queue, a long time is the work's own, and refusing would not shorten it.
     if (placed.isFull && placed.expected > admissionLimit(route, request.latencyTarget))
-        return {nullptr, "overloaded"};
+        return {.upstream = nullptr, .reason = "overloaded"};
     if (const auto cold = coldShares.find(chosen); cold != coldShares.end())
         chosen->coldGate.tryTake(now, cold->second);
-    return {m_upstreams.find(chosen->listed.id), "placed"};
+    return {.upstream = m_upstreams.find(chosen->listed.id),
+            .isFirst = placed.isFirst,
+            .isWarm = candidates[placed.index].isWarm,
+            .load = candidates[placed.index].load,
+            .expected = placed.expected};
 }
 
 } // namespace buckthorngrade
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -62,10 +62,15 @@
         region_share share;
     };
 
+    // An upstream for an attempt, and what was known of it at that moment.
     struct choice
     {
         upstream_pointer upstream; // null: none can take the request
-        const char *reason = ""; // why none can, or which rule chose
+        const char *reason = ""; // why none can
+        bool isFirst = false; // the first upstream of the request's object
+        bool isWarm = false; // it has handled the object recently
+        double load = 0; // requests that it runs or queues, estimated
+        std::chrono::duration<double, std::milli> expected{0}; // time until the response
     };
     // Picks the upstream for an attempt; upstreams in `excluded` were tried before.
     choice choose(const route &route, const std::string &service,
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -28,24 +28,6 @@
                                           .count());
 }
 
-upstream_listing toListing(const wire::node_view &view, steady_time readAt)
-{
-    upstream_listing listing;
-    listing.readAt = readAt;
-    for (const wire::node_upstream &sent : view.upstreams()) {
-        listed_upstream &upstream = listing.upstreams.emplace_back();
-        upstream.id = sent.id();
-        upstream.service = sent.service();
-        upstream.address = sent.address();
-        upstream.failureDomain = sent.failure_domain();
-        upstream.slots = sent.slots();
-        upstream.isDraining = sent.draining();
-        upstream.coldFor = std::chrono::milliseconds(sent.cold_ms());
-        upstream.startedMs = sent.started_ms();
-    }
-    return listing;
-}
-
 } // namespace
 
 entry_node::entry_node(event_loop &loop, node_settings settings, const carry_protocol &protocol,
@@ -99,7 +81,7 @@
     result.set_leaving(m_isStopping);
     result.set_routing_version(m_routingVersion);
     result.set_evacuation_revision(m_evacuationRevision);
-    result.set_listing_digest(m_listingDigest);
+    m_listing.describe(m_loop.now(), result);
     for (wire::region_load &load : m_carrier.ownLoads())
         *result.add_loads() = std::move(load);
     return result;
@@ -139,7 +121,8 @@
     }
     applyRouting(view, host);
     applyEvacuations(view);
-    applyListing(view);
+    if (m_listing.apply(view, m_loop.now()))
+        m_carrier.setUpstreams(m_listing.listing());
     if (view.has_leader() && view.entries_size() > 0) {
         std::vector<peer_instance> instances;
         for (const wire::node_entry &entry : view.entries())
@@ -189,30 +172,13 @@
     m_carrier.setEvacuated({view.evacuated().begin(), view.evacuated().end()});
 }
 
-void entry_node::applyListing(const wire::node_view &view)
-{
-    if (view.listing_digest() == 0)
-        return;
-    const steady_time readAt = m_loop.now() - std::chrono::milliseconds(view.listing_age_ms());
-    if (readAt <= m_listingReadAt)
-        return;
-    if (view.listing_digest() != m_listingDigest) {
-        // The list that was left out of this view is not the one in use any more.
-        if (view.upstreams_size() == 0 && m_listingDigest != 0)
-            return;
-        m_listingDigest = view.listing_digest();
-        m_carrier.setUpstreams(toListing(view, readAt));
-    }
-    m_listingReadAt = readAt;
-}
-
 void entry_node::updateReadiness()
 {
     if (m_isReady)
         return;
     const auto heard = static_cast<std::size_t>(std::ranges::count_if(
         m_voterHosts, [this](const std::string &host) { return m_heard.contains(host); }));
-    if (heard * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listingDigest == 0)
+    if (heard * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listing.isEmpty())
         return;
     m_isReady = true;
     m_events.write(event_id::readiness_changed,
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -2,6 +2,7 @@
 
 #include "carrier/carrier.h"
 #include "carrier/control_client.h"
+#include "carrier/listing_follower.h"
 #include "model/node_settings.h"
 #include "net/http_server.h"
 
@@ -39,7 +40,6 @@
     void applyView(const std::string &host, const wire::node_view &view);
     void applyRouting(const wire::node_view &view, const std::string &host);
     void applyEvacuations(const wire::node_view &view);
-    void applyListing(const wire::node_view &view);
     void updateReadiness();
     std::string nearestControl() const;
     wire::node_report report() const;
@@ -56,8 +56,7 @@
     std::uint64_t m_incarnation;
     std::uint64_t m_routingVersion = 0;
     std::uint64_t m_evacuationRevision = 0;
-    std::uint64_t m_listingDigest = 0;
-    steady_time m_listingReadAt = steady_time::min();
+    listing_follower m_listing;
     bool m_isReady = false;
     bool m_isStopping = false;
     std::function<void()> m_onStopped;
--- a/src/control/node_sync_service.cc
+++ b/src/control/node_sync_service.cc
@@ -36,7 +36,7 @@
             view->add_evacuated(domain);
     if (report->wants_details())
         addInstances(now, *view);
-    addListing(*report, *view);
+    m_lister.answer(*report, now, *view);
     return grpc::Status::OK;
 }
 
@@ -51,28 +51,4 @@
         *view.add_loads() = std::move(load);
 }
 
-void node_sync_service::addListing(const wire::node_report &report, wire::node_view &view) const
-{
-    const upstream_lister::held_listing held = m_lister.current();
-    if (!held.listing)
-        return;
-    view.set_listing_digest(held.digest);
-    view.set_listing_age_ms(
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - held.listing->readAt)
-            .count());
-    if (held.digest == report.listing_digest())
-        return;
-    for (const listed_upstream &upstream : held.listing->upstreams) {
-        wire::node_upstream &added = *view.add_upstreams();
-        added.set_id(upstream.id);
-        added.set_service(upstream.service);
-        added.set_address(upstream.address);
-        added.set_failure_domain(upstream.failureDomain);
-        added.set_slots(upstream.slots);
-        added.set_draining(upstream.isDraining);
-        added.set_cold_ms(upstream.coldFor.count());
-        added.set_started_ms(upstream.startedMs);
-    }
-}
-
 } // namespace buckthorngrade
--- a/src/control/node_sync_service.h
+++ b/src/control/node_sync_service.h
@@ -23,7 +23,6 @@
 
 private:
     void addInstances(steady_time now, wire::node_view &view) const;
-    void addListing(const wire::node_report &report, wire::node_view &view) const;
 
     const replica &m_log;
     const control_state &m_state;
--- a/src/control/upstream_lister.cc
+++ b/src/control/upstream_lister.cc
@@ -2,28 +2,8 @@
 
 #include "control/control_state.h"
 
-#include <xxhash.h>
-
-#include <fmt/format.h>
-
 namespace buckthorngrade {
 
-namespace {
-
-// Cold upstreams warm up between two readings; the time left is not part of the digest unless it
-// appears or ends, or every reading would look like a change.
-std::uint64_t digestOf(const upstream_listing &listing)
-{
-    std::string text;
-    for (const listed_upstream &upstream : listing.upstreams)
-        text += fmt::format("{}\n{}\n{}\n{}\n{}\n{}\n{}\n{}\n", upstream.id, upstream.service,
-                            upstream.address, upstream.failureDomain, upstream.slots,
-                            upstream.isDraining, upstream.coldFor.count() > 0, upstream.startedMs);
-    return XXH3_64bits(text.data(), text.size()) | 1U;
-}
-
-} // namespace
-
 upstream_lister::upstream_lister(listing_source &source, const replicator &log,
                                  const clock_source &clock, event_log &events,
                                  metric_registry &metrics)
@@ -46,15 +26,13 @@
     if (!(view.isLeader && view.isConnected) && !isLeaderless)
         return;
     try {
-        auto listing = std::make_shared<upstream_listing>(m_source.read());
+        upstream_listing listing = m_source.read();
         m_reads.add();
-        const std::uint64_t digest = digestOf(*listing);
         const std::lock_guard lock(m_mutex);
-        if (m_isFailing || digest != m_held.digest)
+        if (m_history.add(std::move(listing)) || m_isFailing)
             m_events.write(event_id::listing_changed,
-                           {{"upstreams", listing->upstreams.size()}, {"digest", digest}});
+                           {{"upstreams", m_history.upstreams()}, {"digest", m_history.digest()}});
         m_isFailing = false;
-        m_held = {std::move(listing), digest};
     } catch (const control_error &failure) {
         m_failures.add();
         if (!m_isFailing)
@@ -63,10 +41,11 @@
     }
 }
 
-upstream_lister::held_listing upstream_lister::current() const
+void upstream_lister::answer(const wire::node_report &report, steady_time now,
+                             wire::node_view &view) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_held;
+    m_history.answer(report, now, view);
 }
 
 } // namespace buckthorngrade
--- a/src/control/upstream_lister.h
+++ b/src/control/upstream_lister.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "control/listing_history.h"
 #include "model/upstream_listing.h"
 
 #include <chrono>
@@ -27,20 +28,14 @@
 class upstream_lister
 {
 public:
-    struct held_listing
-    {
-        std::shared_ptr<const upstream_listing> listing;
-        std::uint64_t digest = 0; // of all but the time; never 0
-    };
-
     // All references must outlive this.
     upstream_lister(listing_source &source, const replicator &log, const clock_source &clock,
                     event_log &events, metric_registry &metrics);
 
     // Reads the list if that is this instance's task now.
     void run();
-    // Null until the first reading.
-    held_listing current() const;
+    // Adds to `view` what the reporting entry instance does not know of the list. Thread-safe.
+    void answer(const wire::node_report &report, steady_time now, wire::node_view &view) const;
 
 private:
     // An instance without a leader begins to read after so long.
@@ -55,7 +50,7 @@
     steady_time m_leaderSeen;
     bool m_isFailing = false;
     mutable std::mutex m_mutex;
-    held_listing m_held;
+    listing_history m_history;
 };
 
 } // namespace buckthorngrade
--- a/src/model/upstream_listing.h
+++ b/src/model/upstream_listing.h
@@ -31,4 +31,21 @@
     std::vector<listed_upstream> upstreams; // ordered by id
 };
 
+// How one list differs from an earlier one.
+struct listing_change
+{
+    steady_time readAt{}; // of the later list
+    std::vector<listed_upstream> changed; // new or different, ordered by id
+    std::vector<std::string> removed; // ids
+};
+
+// Whether two entries of one upstream differ beyond what the time between their readings explains.
+// The end of its cold period moves between readings because both times are rounded and delayed;
+// smaller moves are no difference.
+bool differs(const listed_upstream &before, steady_time beforeReadAt, const listed_upstream &after,
+             steady_time afterReadAt);
+listing_change changeBetween(const upstream_listing &before, const upstream_listing &after);
+// The later list. Entries that did not change keep the end of their cold period.
+upstream_listing applyChange(const upstream_listing &before, const listing_change &change);
+
 } // namespace buckthorngrade
--- a/src/steering/upstream_placement.cc
+++ b/src/steering/upstream_placement.cc
@@ -88,7 +88,7 @@
         }
     }
     return placement{best, std::chrono::duration<double, std::milli>(bestMs),
-                     candidates[best].load + 1 > candidates[best].slots};
+                     candidates[best].load + 1 > candidates[best].slots, best == first};
 }
 
 } // namespace buckthorngrade
--- a/src/steering/upstream_placement.h
+++ b/src/steering/upstream_placement.h
@@ -54,6 +54,7 @@
     std::size_t index = 0;
     std::chrono::duration<double, std::milli> expected{0};
     bool isFull = false;
+    bool isFirst = false; // the object's first upstream
 };
 std::optional<placement> placeRequest(std::span<const placement_candidate> candidates,
                                       const placement_request &request);
--- /dev/null
+++ b/tests/control/listing_history_test.cc
@@ -0,0 +1,148 @@
+#include "carrier/listing_follower.h"
+#include "control/listing_history.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start(1000s);
+
+listed_upstream upstreamOf(std::uint64_t number)
+{
+    return {fmt::format("u{}", number), "s", "1.2.3.4:5", "d", 3, false, 0ms, 0};
+}
+
+upstream_listing listingOf(steady_time readAt, std::size_t count)
+{
+    upstream_listing result;
+    result.readAt = readAt;
+    for (std::size_t i = 0; i < count; ++i)
+        result.upstreams.push_back(upstreamOf(i));
+    std::ranges::sort(result.upstreams, {}, &listed_upstream::id);
+    return result;
+}
+
+wire::node_view exchangeBetween(const listing_history &history, listing_follower &follower,
+                                steady_time now)
+{
+    wire::node_report report;
+    follower.describe(now, report);
+    wire::node_view view;
+    history.answer(report, now, view);
+    follower.apply(view, now);
+    return view;
+}
+
+} // namespace
+
+class listing_history_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(listing_history_test);
+    CPPUNIT_TEST(oldListIsNotSent);
+    CPPUNIT_TEST(onlyTheDifferenceIsSent);
+    CPPUNIT_TEST(followersHoldTheListAsRead);
+    CPPUNIT_TEST(newColdPeriodIsAChange);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a control instance that read the list once, long ago, and sends it whole with
+    // every answer.
+    void oldListIsNotSent()
+    {
+        listing_history old;
+        old.add(listingOf(start, 100));
+        listing_history present;
+        present.add(listingOf(start + 5s, 101));
+        listing_follower follower;
+        exchangeBetween(old, follower, start + 5s);
+        exchangeBetween(present, follower, start + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{101}, follower.listing().upstreams.size());
+        const wire::node_view view = exchangeBetween(old, follower, start + 6s);
+        CPPUNIT_ASSERT_EQUAL(0, view.upstreams_size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, view.listing_digest());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{101}, follower.listing().upstreams.size());
+    }
+
+    void onlyTheDifferenceIsSent()
+    {
+        listing_history history;
+        listing_follower follower;
+        history.add(listingOf(start, 100));
+        CPPUNIT_ASSERT_EQUAL(100, exchangeBetween(history, follower, start).upstreams_size());
+        history.add(listingOf(start + 1s, 102));
+        CPPUNIT_ASSERT_EQUAL(2, exchangeBetween(history, follower, start + 1s).upstreams_size());
+        CPPUNIT_ASSERT(!history.add(listingOf(start + 2s, 102)));
+        CPPUNIT_ASSERT_EQUAL(0, exchangeBetween(history, follower, start + 2s).upstreams_size());
+    }
+
+    // Random lists through two control instances that alternate as readers: a follower that asks
+    // both in any order ends with the newest list.
+    void followersHoldTheListAsRead()
+    {
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            std::mt19937_64 random(seed);
+            listing_history histories[2];
+            listing_follower follower;
+            upstream_listing newest = listingOf(start, 5);
+            steady_time now = start;
+            for (int step = 0; step < 60; ++step) {
+                now += std::chrono::milliseconds(100 + random() % 700);
+                if (random() % 2 == 0) {
+                    newest.readAt = now;
+                    const std::uint64_t number = random() % 12;
+                    const auto found = std::ranges::find(
+                        newest.upstreams, fmt::format("u{}", number), &listed_upstream::id);
+                    if (found == newest.upstreams.end())
+                        newest.upstreams.push_back(upstreamOf(number));
+                    else if (random() % 2 == 0)
+                        newest.upstreams.erase(found);
+                    else
+                        found->isDraining = !found->isDraining;
+                    std::ranges::sort(newest.upstreams, {}, &listed_upstream::id);
+                    histories[random() % 2].add(newest);
+                }
+                exchangeBetween(histories[random() % 2], follower, now);
+            }
+            now += 1ms;
+            exchangeBetween(histories[0], follower, now);
+            exchangeBetween(histories[1], follower, now);
+            exchangeBetween(histories[0], follower, now);
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
+                                   follower.listing().upstreams == newest.upstreams);
+        }
+    }
+
+    // Guards against an upstream that becomes cold again between two readings, unnoticed because
+    // it was cold in both.
+    void newColdPeriodIsAChange()
+    {
+        listing_history history;
+        listing_follower follower;
+        upstream_listing cold = listingOf(start, 3);
+        cold.upstreams[1].coldFor = 1s;
+        history.add(cold);
+        exchangeBetween(history, follower, start);
+        cold.readAt = start + 700ms;
+        cold.upstreams[1].coldFor = 350ms;
+        CPPUNIT_ASSERT(!history.add(cold));
+        cold.readAt = start + 900ms;
+        cold.upstreams[1].coldFor = 3s;
+        CPPUNIT_ASSERT(history.add(cold));
+        exchangeBetween(history, follower, start + 1s);
+        CPPUNIT_ASSERT(follower.listing().upstreams[1].coldFor == 3s);
+        // The end of a cold period alone changes nothing.
+        cold.readAt = start + 5s;
+        cold.upstreams[1].coldFor = 0s;
+        CPPUNIT_ASSERT(!history.add(cold));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(listing_history_test);
