--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -24,7 +24,10 @@
 constexpr std::chrono::milliseconds assumedDeadline{30'000}; // of a caller that names none
 // The caller closes at its deadline; an answer on its way then is lost.
 constexpr std::chrono::milliseconds deadlineMargin{20};
-// Several times the longest round trip; a lost packet is repeated only after a second or more.
+// Several times the longest round trip; a lost packet is repeated only after a second or more. The
+// packets of a handshake wait behind those of bodies on the instance's link, so the time that this
+// many bytes take there is added: two large uploads.
+constexpr double bytesAheadOfConnect = 128 << 10;
 constexpr std::chrono::milliseconds nearConnectTimeout{150};
 constexpr std::chrono::milliseconds farConnectTimeout{450};
 constexpr std::uint32_t maxUnreached = 4;
@@ -183,12 +186,16 @@
         if (const auto self = weak.lock())
             self->handleCallerGone();
     };
+    m_exchange->onBody = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->forwardBody();
+    };
     attempt();
 }
 
 void carried_request::attempt()
 {
-    m_choice = m_owner.choose(*m_route, m_service, m_affinity, m_exchange->body.size(), m_tried);
+    m_choice = m_owner.choose(*m_route, m_service, m_affinity, m_exchange->bodyBytes(), m_tried);
     if (!m_choice.upstream) {
         answerOwn(m_mayHaveRun ? badGateway : unavailable, m_choice.reason);
         return;
@@ -210,9 +217,7 @@
             answerOwn(m_mayHaveRun ? badGateway : unavailable, "no descriptor");
             return;
         }
-        const auto limit = m_upstream->region == m_owner.m_settings.region ? nearConnectTimeout
-                                                                           : farConnectTimeout;
-        m_connectTimer = m_owner.m_loop.runAfter(limit, [self = shared_from_this()] {
+        m_connectTimer = m_owner.m_loop.runAfter(connectLimit(), [self = shared_from_this()] {
             self->m_connectTimer = 0;
             self->handleConnectTimeout();
         });
@@ -220,11 +225,24 @@
     send();
 }
 
+std::chrono::milliseconds carried_request::connectLimit() const
+{
+    const node_settings &settings = m_owner.m_settings;
+    const auto usual
+        = m_upstream->region == settings.region ? nearConnectTimeout : farConnectTimeout;
+    const std::chrono::duration<double> queued(bytesAheadOfConnect / settings.linkBytesPerSecond);
+    return usual + std::chrono::ceil<std::chrono::milliseconds>(queued);
+}
+
 void carried_request::send()
 {
     m_sentAt = m_owner.m_loop.now();
     ++m_attempts;
+    m_isChunked
+        = m_exchange->head.framing == body_framing::chunked && !m_exchange->isBodyComplete();
+    m_bodySent = m_exchange->body().size();
     http_client::call call;
+    call.isWhole = m_exchange->isBodyComplete();
     call.request = encode(std::chrono::duration_cast<std::chrono::milliseconds>(
         std::min(m_deadline, m_limit) - std::chrono::steady_clock::now()));
     call.isHead = m_exchange->head.method == "HEAD";
@@ -253,13 +271,36 @@
     text += fmt::format("{}: {}\r\n{}: {}\r\n", protocol.deadlineMs,
                         std::max<std::int64_t>(1, left.count()), protocol.expectedUpstream,
                         m_upstream->listed.id);
-    if (head.framing != body_framing::none)
-        text += fmt::format("Content-Length: {}\r\n", m_exchange->body.size());
+    if (m_isChunked)
+        text += "Transfer-Encoding: chunked\r\n";
+    else if (head.framing != body_framing::none)
+        text += fmt::format("Content-Length: {}\r\n", m_exchange->bodyBytes());
     text += "\r\n";
-    text += m_exchange->body;
+    text += encodeBody(0);
     return text;
 }
 
+std::string carried_request::encodeBody(std::size_t from) const
+{
+    const std::string_view bytes = std::string_view(m_exchange->body()).substr(from);
+    if (!m_isChunked)
+        return std::string(bytes);
+    std::string text;
+    if (!bytes.empty())
+        text = fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+    if (m_exchange->isBodyComplete())
+        text += "0\r\n\r\n";
+    return text;
+}
+
+void carried_request::forwardBody()
+{
+    if (!m_client || !m_client->isBusy())
+        return;
+    m_client->append(encodeBody(m_bodySent), m_exchange->isBodyComplete());
+    m_bodySent = m_exchange->body().size();
+}
+
 bool carried_request::isNotRun(const client_response &response) const
 {
     return response.head.status == misdirected
@@ -403,7 +444,7 @@
     if (m_owner.m_log.admits(event_id::caller_left))
         m_owner.m_log.write(event_id::caller_left,
                             {{"id", m_id}, {"upstream", m_upstream ? m_upstream->listed.id : ""}});
-    const bool isSent = m_client && m_client->hasSent();
+    const bool isSent = m_client && m_client->hasSent() && m_exchange->isBodyComplete();
     m_isFinished = true;
     // Work that is not idempotent goes on, until its time is over: breaking it off would not make
     // its outcome known.
@@ -488,6 +529,7 @@
     m_owner.m_loop.cancel(m_timeoutTimer);
     m_owner.m_loop.cancel(m_connectTimer);
     m_exchange->onCallerGone = nullptr;
+    m_exchange->onBody = nullptr;
 }
 
 void carried_request::logAttempt(std::string_view outcome)
--- a/src/carrier/carried_request.h
+++ b/src/carrier/carried_request.h
@@ -43,7 +43,12 @@
     void answerOwn(int status, const char *reason);
     void finish();
     void releaseUpstream();
+    std::chrono::milliseconds connectLimit() const;
     std::string encode(std::chrono::milliseconds left) const;
+    // Bytes of the body from `from` on as they are sent to the upstream.
+    std::string encodeBody(std::size_t from) const;
+    // Sends what has arrived of the body since the last call.
+    void forwardBody();
     std::chrono::milliseconds timeLeft() const;
     void logAttempt(std::string_view outcome);
 
@@ -62,6 +67,8 @@
     std::unique_ptr<http_client> m_client;
     bool m_isReused = false; // the connection carried an earlier request
     steady_time m_sentAt;
+    std::size_t m_bodySent = 0; // bytes of the body handed to m_client
+    bool m_isChunked = false; // the body goes to m_client in chunks
     std::set<std::string> m_tried;
     std::uint32_t m_attempts = 0; // requests sent to upstreams
     std::uint32_t m_unreached = 0; // attempts that reached no upstream
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -20,12 +20,14 @@
 constexpr std::chrono::duration<double, std::milli> otherDomainTrip{8};
 constexpr std::chrono::duration<double, std::milli> otherRegionTrip{115};
 // Links between regions are thin and dear: a large body costs more there than a cold start.
-constexpr std::size_t largeBody = 16 * 1024;
+constexpr std::uint64_t largeBody = 16 * 1024;
 constexpr double largeBodyBoost = 8;
 constexpr int urgentPriority = 1; // and below: 0 is the highest
 constexpr double ordinaryPatience = 3.0; // multiples of the latency target
 constexpr double urgentPatience = 4.0;
 constexpr double usedPartOfTimeout = 0.9;
+// A request that is on its way takes a slot for at least this part of its time.
+constexpr double leastRunningPart = 0.3;
 // Requests change region for reasons beyond the shares, too, so only a part of the bound is used.
 constexpr double usedPartOfShift = 0.33;
 
@@ -99,7 +101,7 @@
 {
     m_sharedLoads.clear();
     for (const wire::region_load &load : loads)
-        m_sharedLoads[{load.service(), load.region()}] = load.utilization();
+        m_sharedLoads[{load.service(), load.region()}] = load.requests();
 }
 
 carrier::service_state &carrier::stateOf(const std::string &service)
@@ -116,24 +118,35 @@
         .first->second;
 }
 
+std::chrono::duration<double, std::milli> carrier::tripTo(const upstream_state &upstream) const
+{
+    if (upstream.region != m_settings.region)
+        return otherRegionTrip;
+    if (upstream.listed.failureDomain != m_settings.failureDomain)
+        return otherDomainTrip;
+    return std::chrono::duration<double, std::milli>(0);
+}
+
+double carrier::runningRequests(const upstream_state &upstream) const
+{
+    const double trip = tripTo(upstream).count();
+    const double total = upstream.serviceMs > 0 ? upstream.serviceMs : trip;
+    // Of a request to another region, a part is on its way and takes no slot.
+    return upstream.inFlight * std::max(leastRunningPart, 1 - trip / std::max(total, 1.0));
+}
+
 std::vector<wire::region_load> carrier::ownLoads() const
 {
+    std::map<std::pair<std::string, std::string>, double> loads;
+    for (const auto &[id, upstream] : m_upstreams.all())
+        if (upstream->inFlight > 0)
+            loads[{upstream->listed.service, upstream->region}] += runningRequests(*upstream);
     std::vector<wire::region_load> result;
-    for (const auto &[service, state] : m_services) {
-        double slots = 0;
-        double load = 0;
-        for (const upstream_state *upstream : m_upstreams.usable(service, m_loop.now())) {
-            if (upstream->region != m_settings.region)
-                continue;
-            slots += upstream->listed.slots;
-            load += upstream->estimatedLoad(m_loop.now());
-        }
-        if (slots <= 0)
-            continue;
+    for (const auto &[key, requests] : loads) {
         wire::region_load &added = result.emplace_back();
-        added.set_service(service);
-        added.set_region(m_settings.region);
-        added.set_utilization(load / slots);
+        added.set_service(key.first);
+        added.set_region(key.second);
+        added.set_requests(requests);
     }
     return result;
 }
@@ -144,15 +157,19 @@
         return;
     for (const routed_service &service : m_routes->document().services) {
         std::map<std::string, region_state> regions;
-        std::map<std::string, double> ownEstimate;
+        std::map<std::string, double> own;
         for (const upstream_state *upstream : m_upstreams.usable(service.name, m_loop.now())) {
             regions[upstream->region].slots += upstream->listed.slots;
-            ownEstimate[upstream->region] += upstream->estimatedLoad(m_loop.now());
+            own[upstream->region] += runningRequests(*upstream);
         }
+        for (const peer_instance &instance : m_instances)
+            if (const auto region = regions.find(instance.region); region != regions.end())
+                region->second.entries += 1;
         for (auto &[region, state] : regions) {
             const auto shared = m_sharedLoads.find({service.name, region});
-            state.utilization = shared != m_sharedLoads.end() ? shared->second
-                                                              : ownEstimate[region] / state.slots;
+            const double requests
+                = std::max(own[region], shared != m_sharedLoads.end() ? shared->second : 0.0);
+            state.utilization = requests / state.slots;
         }
         service_state &state = stateOf(service.name);
         if (!state.share.update(regions, m_loop.now()))
@@ -177,8 +194,8 @@
 }
 
 carrier::choice carrier::choose(const route &route, const std::string &service,
-                                const std::optional<std::uint64_t> &affinity, std::size_t bodyBytes,
-                                const std::set<std::string> &excluded)
+                                const std::optional<std::uint64_t> &affinity,
+                                std::uint64_t bodyBytes, const std::set<std::string> &excluded)
 {
     const steady_time now = m_loop.now();
     std::vector<upstream_state *> usable = m_upstreams.usable(service, now);
@@ -228,10 +245,7 @@
             : request.latencyTarget * assumedWorkShare;
         candidate.failureShare = upstream->estimatedFailureShare(now);
         candidate.isWarm = affinity && upstream->isWarmFor(*affinity, now);
-        candidate.roundTrip = upstream->region != m_settings.region ? otherRegionTrip
-            : upstream->listed.failureDomain != m_settings.failureDomain
-            ? otherDomainTrip
-            : std::chrono::duration<double, std::milli>(0);
+        candidate.roundTrip = tripTo(*upstream);
     }
     const placement placed = placeRequest(candidates, request).value();
     upstream_state *chosen = usable[placed.index];
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -50,7 +50,7 @@
 
     const route_table *routes() const { return m_routes.get(); }
     const upstream_table &upstreams() const { return m_upstreams; }
-    // Load of the own region's upstreams, by service, for the report.
+    // Own requests that run or wait at upstreams, by service and region, for the report.
     std::vector<wire::region_load> ownLoads() const;
 
 private:
@@ -74,10 +74,14 @@
     };
     // Picks the upstream for an attempt; upstreams in `excluded` were tried before.
     choice choose(const route &route, const std::string &service,
-                  const std::optional<std::uint64_t> &affinity, std::size_t bodyBytes,
+                  const std::optional<std::uint64_t> &affinity, std::uint64_t bodyBytes,
                   const std::set<std::string> &excluded);
     service_state &stateOf(const std::string &service);
     void updateShares();
+    // Time that the network takes for a request and its response.
+    std::chrono::duration<double, std::milli> tripTo(const upstream_state &upstream) const;
+    // Own requests that take a slot of the upstream or wait for one, estimated.
+    double runningRequests(const upstream_state &upstream) const;
     double coldLimit(const upstream_state &upstream) const;
 
     event_loop &m_loop;
@@ -91,7 +95,8 @@
     service_splitter m_splitter;
     std::map<std::string, service_state> m_services;
     std::vector<peer_instance> m_instances;
-    std::map<std::pair<std::string, std::string>, double> m_sharedLoads; // by service and region
+    std::map<std::pair<std::string, std::string>, double> m_sharedLoads; // requests of all
+                                                                         // instances
     std::mt19937_64 m_random;
     bool m_isStopping = false;
 };
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -16,6 +16,11 @@
 constexpr std::chrono::milliseconds stopTakingAfter{2'800};
 constexpr std::chrono::milliseconds stopCheckPeriod{50};
 constexpr std::chrono::milliseconds stopMargin{500}; // before the process would be killed
+// A body of this size takes 33 ms on a link of 2 Mbit/s; longer ones are passed on while they
+// arrive, so that they don't take that time twice.
+constexpr std::uint64_t streamedBytes = 8U << 10;
+// A body passes the link twice, in and out, so twice this share is in use while it is streamed.
+constexpr double bodyShareOfLink = 0.45;
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -43,6 +48,8 @@
     , m_incarnation(randomIncarnation())
 {
     http_server_options options;
+    options.streamedBytes = streamedBytes;
+    options.bodyBytesPerSecond = bodyShareOfLink * m_settings.linkBytesPerSecond;
     options.onInvalid = [this](const std::string &reason) {
         m_events.write(event_id::invalid_request, {{"reason", reason}});
     };
--- a/src/control/node_roster.cc
+++ b/src/control/node_roster.cc
@@ -33,22 +33,17 @@
 std::vector<wire::region_load> node_roster::loads(steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
-    std::map<std::pair<std::string, std::string>, std::pair<double, int>> sums;
-    for (const auto &[name, known] : m_records) {
-        if (now - known.heardAt > silenceLimit)
-            continue;
-        for (const wire::region_load &load : known.loads) {
-            auto &[sum, count] = sums[{load.service(), load.region()}];
-            sum += load.utilization();
-            ++count;
-        }
-    }
+    std::map<std::pair<std::string, std::string>, double> sums;
+    for (const auto &[name, known] : m_records)
+        if (now - known.heardAt <= silenceLimit)
+            for (const wire::region_load &load : known.loads)
+                sums[{load.service(), load.region()}] += load.requests();
     std::vector<wire::region_load> result;
-    for (const auto &[key, total] : sums) {
+    for (const auto &[key, requests] : sums) {
         wire::region_load &load = result.emplace_back();
         load.set_service(key.first);
         load.set_region(key.second);
-        load.set_utilization(total.first / total.second);
+        load.set_requests(requests);
     }
     return result;
 }
--- a/src/control/node_roster.h
+++ b/src/control/node_roster.h
@@ -32,7 +32,7 @@
     void update(const wire::node_report &report, steady_time now);
     // Instances heard recently, by name.
     std::vector<entry> live(steady_time now) const;
-    // Means over the instances heard recently, by service and region.
+    // Sums over the instances heard recently, by service and region.
     std::vector<wire::region_load> loads(steady_time now) const;
 
 private:
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -52,7 +52,17 @@
         fail(call_failure::not_sent);
         return;
     }
+    m_isWhole = m_call->isWhole;
     m_socket.send(m_call->request);
+    m_call->request.clear();
+}
+
+void http_client::append(std::string_view bytes, bool isLast)
+{
+    if (!m_call || m_isWhole)
+        return;
+    m_isWhole = isLast;
+    m_socket.send(bytes);
 }
 
 void http_client::cancel()
@@ -101,7 +111,8 @@
     if (head.status < firstFinalStatus)
         return readHead();
     m_isSkipping = m_call->matches && !m_call->matches(head);
-    if (m_isSkipping || !head.keepAlive || m_socket.hasUnsent())
+    // After an answer to half a request, the rest must not reach the upstream as another request.
+    if (m_isSkipping || !head.keepAlive || m_socket.hasUnsent() || !m_isWhole)
         m_isReusable = false;
     if (const auto idle = idleTimeOf(head))
         m_announcedIdle = idle;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,7 @@
     struct call
     {
         std::string request; // head and body as they are sent
+        bool isWhole = true; // otherwise the rest of the body comes with append()
         bool isHead = false;
         // Returns whether a response belongs to this call; empty: all do.
         std::function<bool(const http_head &)> matches;
@@ -52,6 +53,9 @@
     // The connection must be idle. Exactly one of the callbacks is called, unless cancel() or the
     // destructor comes first.
     void start(call next);
+    // Sends more of the current call's body; `isLast`: it is whole then. Nothing if the call has
+    // ended.
+    void append(std::string_view bytes, bool isLast);
     // Ends the call, if there is one, and closes the connection.
     void cancel();
     bool isBusy() const { return m_call.has_value(); }
@@ -81,6 +85,7 @@
     std::optional<body_decoder> m_decoder;
     bool m_isSkipping = false; // the response being read belongs to an earlier call
     std::uint64_t m_sentBefore = 0;
+    bool m_isWhole = true; // the current call's request was handed over whole
     bool m_isReusable = true;
     std::optional<std::chrono::milliseconds> m_announcedIdle;
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -61,6 +61,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_handler(std::move(handler))
+    , m_bodyPacer(m_options.bodyBytesPerSecond)
     , m_listener(loop, address, [this](int descriptor) { accept(descriptor); })
 { }
 
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -7,8 +7,10 @@
 namespace {
 
 constexpr int payloadTooLarge = 413;
+constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int badRequest = 400;
+constexpr std::size_t pacedRead = 4 * 1024; // of a streamed body at once
 constexpr std::chrono::milliseconds lingerTime{1'000}; // several round trips between regions
 
 } // namespace
@@ -32,6 +34,7 @@
 server_connection::~server_connection()
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_paceTimer);
 }
 
 void server_connection::processInput()
@@ -41,88 +44,159 @@
         return;
     }
     try {
-        while (!m_isClosing && m_socket.isOpen()) {
-            if (m_waiting.size() >= m_server.m_options.maxPipelined)
+        while (m_socket.isOpen() && (m_reading || !m_isClosing)) {
+            if (!m_reading && (isFull() || !readHead()))
                 break;
-            if (!m_head && !readHead())
+            const bool isComplete = readBody();
+            if (!m_isDispatched
+                && (isComplete || m_reading->body().size() > m_server.m_options.streamedBytes))
+                dispatch();
+            if (!isComplete)
                 break;
-            if (!readBody())
-                break;
-            dispatch();
+            finishRequest();
         }
     } catch (const http_error &failure) {
         reject(failure.status(), failure.what());
     }
     if (!m_socket.isOpen())
         return;
-    // The rest stays in the kernel until earlier requests are answered.
-    m_socket.pauseReading(m_waiting.size() >= m_server.m_options.maxPipelined
-                          || (m_isClosing && m_socket.input().size() > maxHeadBytes));
+    updateReading();
     armTimer();
 }
 
+void server_connection::updateReading()
+{
+    // What is not read yet stays in the kernel until earlier requests are answered.
+    const bool isBlocked
+        = !m_reading && (isFull() || (m_isClosing && m_socket.input().size() > maxHeadBytes));
+    const bool isStreamed = m_reading && m_isDispatched && m_server.m_bodyPacer.isLimited();
+    m_socket.limitReading(isStreamed ? pacedRead : stream_socket::usualReadLimit);
+    m_socket.pauseReading(isBlocked || m_paceTimer != 0);
+}
+
+void server_connection::paceBody(std::uint64_t bytes)
+{
+    const steady_time now = m_loop.now();
+    const steady_time next = m_server.m_bodyPacer.take(bytes, now);
+    if (next <= now || m_paceTimer != 0)
+        return;
+    m_paceTimer = m_loop.runAfter(std::chrono::ceil<std::chrono::milliseconds>(next - now), [this] {
+        m_paceTimer = 0;
+        if (m_socket.isOpen())
+            updateReading();
+    });
+}
+
+bool server_connection::isFull() const
+{
+    return m_waiting.size() >= m_server.m_options.maxPipelined;
+}
+
 bool server_connection::readHead()
 {
     const auto end = findHeadEnd(m_socket.input());
     if (!end)
         return false;
-    m_head = parseRequestHead(std::string_view(m_socket.input()).substr(0, *end));
+    http_head head = parseRequestHead(std::string_view(m_socket.input()).substr(0, *end));
     m_socket.input().erase(0, *end);
-    m_headArrival = m_loop.now();
-    if (m_head->framing == body_framing::length
-        && m_head->contentLength > m_server.m_options.maxBodyBytes)
+    if (head.framing == body_framing::length
+        && head.contentLength > m_server.m_options.maxBodyBytes)
         throw http_error(payloadTooLarge, "the body is too large");
-    m_decoder.emplace(*m_head);
-    m_body.clear();
-    if (m_head->expectsContinue && !m_decoder->isComplete() && m_waiting.empty())
+    m_decoder.emplace(head);
+    m_reading = std::make_shared<server_exchange>(std::move(head), m_loop.now());
+    m_isDispatched = false;
+    if (m_reading->head.expectsContinue && !m_decoder->isComplete() && m_waiting.empty())
         m_socket.send("HTTP/1.1 100 Continue\r\n\r\n");
     return true;
 }
 
+// Returns whether the body is whole.
 bool server_connection::readBody()
 {
     if (m_decoder->isComplete())
         return true;
-    const std::size_t before = m_body.size();
-    const std::size_t used = m_decoder->decode(m_socket.input(), m_body);
+    if (m_socket.input().empty())
+        return false;
+    std::string &body = m_reading->m_body;
+    const std::size_t before = body.size();
+    const std::size_t used = m_decoder->decode(m_socket.input(), body);
     m_socket.input().erase(0, used);
-    m_server.m_bufferedBytes += m_body.size() - before;
-    if (m_body.size() > m_server.m_options.maxBodyBytes)
+    m_bodyBytes += body.size() - before;
+    if (m_isDispatched)
+        paceBody(body.size() - before);
+    if (m_bodyBytes > m_server.m_options.maxBodyBytes)
         throw http_error(payloadTooLarge, "the body is too large");
+    const bool isComplete = m_decoder->isComplete();
+    if (m_reading->m_isFinished) {
+        // Nobody needs it any more, but the next request comes behind it.
+        m_server.m_bufferedBytes -= before;
+        body.clear();
+        return isComplete;
+    }
+    m_server.m_bufferedBytes += body.size() - before;
     if (m_server.m_bufferedBytes > m_server.m_options.maxBufferedBytes)
         throw http_error(unavailable, "no room for further bodies");
-    return m_decoder->isComplete();
+    m_reading->m_isBodyComplete = isComplete;
+    if (m_isDispatched && m_reading->onBody)
+        m_reading->onBody();
+    return isComplete;
 }
 
 void server_connection::dispatch()
 {
-    const bool keepAlive = m_head->keepAlive;
-    const std::uint64_t bytes = m_body.size();
-    auto exchange
-        = std::make_shared<server_exchange>(std::move(*m_head), std::move(m_body), m_headArrival);
-    m_head.reset();
-    m_decoder.reset();
-    m_body.clear();
-    exchange->m_connection = this;
-    exchange->m_callerHost = m_socket.peerHost();
-    m_waiting.push_back({exchange, bytes, keepAlive});
+    m_isDispatched = true;
+    m_reading->m_isBodyComplete = m_decoder->isComplete();
+    m_reading->m_connection = this;
+    m_reading->m_callerHost = m_socket.peerHost();
+    m_waiting.push_back({m_reading, m_reading->head.keepAlive});
     ++m_server.m_openRequests;
-    if (!keepAlive)
+    m_server.m_handler(exchange_pointer(m_reading));
+}
+
+// The request in m_reading is read whole.
+void server_connection::finishRequest()
+{
+    // Its response may have closed the connection.
+    if (m_reading && !m_reading->head.keepAlive)
         m_isClosing = true;
-    m_server.m_handler(exchange);
+    m_reading.reset();
+    m_bodyBytes = 0;
+}
+
+void server_connection::releaseBody(server_exchange &exchange)
+{
+    m_server.m_bufferedBytes -= exchange.m_body.size();
+    exchange.m_body.clear();
 }
 
 void server_connection::reject(int status, const std::string &reason)
 {
     m_server.m_options.onInvalid(reason);
     m_isClosing = true;
-    m_server.m_bufferedBytes -= m_body.size();
-    m_body.clear();
-    m_head.reset();
-    auto exchange = std::make_shared<server_exchange>(http_head(), std::string(), m_loop.now());
-    exchange->m_connection = this;
-    m_waiting.push_back({exchange, 0, false});
-    ++m_server.m_openRequests;
+    exchange_pointer exchange = std::move(m_reading);
+    m_reading.reset();
+    m_decoder.reset();
+    if (!exchange || !m_isDispatched) {
+        if (exchange)
+            releaseBody(*exchange);
+        exchange = std::make_shared<server_exchange>(http_head(), m_loop.now());
+        exchange->m_connection = this;
+        m_waiting.push_back({exchange, false});
+        ++m_server.m_openRequests;
+    } else {
+        if (m_waiting.empty()) {
+            lingerUntilCallerCloses();
+            return;
+        }
+        m_waiting.back().keepAlive = false;
+        if (exchange->m_isFinished)
+            return;
+        if (exchange->onCallerGone)
+            exchange->onCallerGone();
+        // A part of it was handed on, so nothing may be promised about it.
+        if (status == unavailable)
+            status = badGateway;
+    }
     http_fields fields;
     if (status == unavailable)
         fields.emplace_back("Retry-After", m_server.m_options.retryAfter);
@@ -141,7 +215,7 @@
     while (!m_waiting.empty() && m_waiting.front().exchange->m_isFinished) {
         const waiting_exchange first = std::move(m_waiting.front());
         m_waiting.pop_front();
-        m_server.m_bufferedBytes -= first.bodyBytes;
+        releaseBody(*first.exchange);
         --m_server.m_openRequests;
         first.exchange->m_connection = nullptr;
         if (first.exchange->m_isAborted) {
@@ -158,6 +232,9 @@
         m_isClosing = m_isClosing || close;
     }
     if (m_isClosing && m_waiting.empty()) {
+        if (m_reading)
+            releaseBody(*m_reading);
+        m_reading.reset();
         if (!m_socket.hasUnsent())
             lingerUntilCallerCloses();
         return;
@@ -167,7 +244,7 @@
             if (server->m_connections.contains(self))
                 self->processInput();
         });
-    m_socket.pauseReading(m_waiting.size() >= m_server.m_options.maxPipelined);
+    updateReading();
     armTimer();
 }
 
@@ -178,6 +255,9 @@
         return;
     m_isLingering = true;
     m_socket.input().clear();
+    m_loop.cancel(m_paceTimer);
+    m_paceTimer = 0;
+    m_socket.limitReading(stream_socket::usualReadLimit);
     m_socket.pauseReading(false);
     m_socket.shutdownSending();
     m_loop.cancel(m_timer);
@@ -190,13 +270,13 @@
 void server_connection::armTimer()
 {
     m_loop.cancel(m_timer);
-    if (!m_socket.isOpen() || (!m_waiting.empty() && !m_head))
+    if (!m_socket.isOpen() || (!m_waiting.empty() && !m_reading))
         return;
     const http_server_options &options = m_server.m_options;
-    const bool isReadingHead = !m_head && !m_socket.input().empty();
-    const auto limit = m_head ? options.bodyTimeout
-        : isReadingHead       ? options.headTimeout
-                              : options.idleTimeout;
+    const bool isReadingHead = !m_reading && !m_socket.input().empty();
+    const auto limit = m_reading ? options.bodyTimeout
+        : isReadingHead          ? options.headTimeout
+                                 : options.idleTimeout;
     m_timer = m_loop.runAfter(limit, [this] {
         m_timer = 0;
         close();
@@ -215,10 +295,10 @@
         return;
     m_isDone = true;
     m_loop.cancel(m_timer);
-    m_server.m_bufferedBytes -= m_body.size();
-    m_body.clear();
+    if (m_reading && !m_isDispatched)
+        releaseBody(*m_reading);
     for (waiting_exchange &waiting : m_waiting) {
-        m_server.m_bufferedBytes -= waiting.bodyBytes;
+        m_server.m_bufferedBytes -= waiting.exchange->m_body.size();
         --m_server.m_openRequests;
         waiting.exchange->m_connection = nullptr;
         if (!waiting.exchange->m_isFinished && waiting.exchange->onCallerGone)
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -19,23 +19,29 @@
 
     // The response to `exchange` is ready, or it was aborted.
     void exchangeFinished();
-    bool isIdle() const { return m_waiting.empty() && !m_head && m_socket.input().empty(); }
+    bool isIdle() const { return m_waiting.empty() && !m_reading && m_socket.input().empty(); }
     void close();
 
 private:
     struct waiting_exchange
     {
         exchange_pointer exchange;
-        std::uint64_t bodyBytes;
         bool keepAlive;
     };
 
     void processInput();
+    bool isFull() const; // no further request may wait for its response
     bool readHead();
     bool readBody();
     void dispatch();
+    void finishRequest();
+    void releaseBody(server_exchange &exchange);
     void reject(int status, const std::string &reason);
     void flushResponses();
+    // Reads on, or leaves what comes in the kernel, as the state asks for.
+    void updateReading();
+    // Counts bytes of a streamed body and waits before more are read.
+    void paceBody(std::uint64_t bytes);
     void armTimer();
     void leave();
     void lingerUntilCallerCloses();
@@ -43,15 +49,16 @@
     http_server &m_server;
     event_loop &m_loop;
     stream_socket m_socket;
-    std::optional<http_head> m_head; // of the request whose body is being read
+    exchange_pointer m_reading; // the request whose body is being read
+    bool m_isDispatched = false; // it was handed on
     std::optional<body_decoder> m_decoder;
-    std::string m_body;
-    steady_time m_headArrival;
+    std::uint64_t m_bodyBytes = 0; // read of its body
     std::deque<waiting_exchange> m_waiting;
     bool m_isClosing = false; // no further requests are read
     bool m_isLingering = false; // everything is sent; what still comes is discarded
     bool m_isDone = false;
     event_loop::timer_id m_timer = 0;
+    event_loop::timer_id m_paceTimer = 0; // reading waits for it
 };
 
 } // namespace buckthorngrade
--- a/src/net/stream_socket.cc
+++ b/src/net/stream_socket.cc
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr int backlog = 1024;
-constexpr std::size_t readBytes = 64 * 1024;
 constexpr int maxAccepts = 64; // in one round, so that other work goes on
 
 sockaddr_in toNative(const socket_address &address)
@@ -168,13 +167,14 @@
     std::size_t added = 0;
     close_reason reason = close_reason::ended;
     bool isOver = false;
-    while (!isOver && added < readBytes) {
+    while (!isOver && added < m_readLimit) {
         char buffer[16 * 1024];
-        const auto count = ::recv(m_descriptor, buffer, sizeof buffer, 0);
+        const std::size_t wanted = std::min(sizeof buffer, m_readLimit - added);
+        const auto count = ::recv(m_descriptor, buffer, wanted, 0);
         if (count > 0) {
             m_input.append(buffer, static_cast<std::size_t>(count));
             added += static_cast<std::size_t>(count);
-            if (static_cast<std::size_t>(count) < sizeof buffer)
+            if (static_cast<std::size_t>(count) < wanted)
                 break;
         } else if (count == 0) {
             isOver = true;
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -58,6 +58,9 @@
     std::uint64_t sentBytes() const { return m_sentBytes; }
     // While paused, bytes stay in the kernel; a close by the peer is still noticed.
     void pauseReading(bool isPaused);
+    // Bytes that are read at once at most.
+    void limitReading(std::size_t bytes) { m_readLimit = bytes; }
+    static constexpr std::size_t usualReadLimit = 64 * 1024;
     void close();
     // Tells the peer that nothing more is sent; what it sends is still read.
     void shutdownSending();
@@ -77,6 +80,7 @@
     int m_descriptor;
     bool m_isConnected;
     bool m_isPaused = false;
+    std::size_t m_readLimit = usualReadLimit;
     std::uint32_t m_events = 0;
     std::string m_input;
     std::string m_output;
--- a/src/platform/control_api.cc
+++ b/src/platform/control_api.cc
@@ -83,7 +83,7 @@
     const std::string path = exchange->head.target.substr(0, exchange->head.target.find('?'));
     routing_service &routing = m_node.routing();
     if (path == platform_wire::configPath && method == "PUT") {
-        run(exchange, [&routing, exchange] { return routing.putRouting(exchange->body); });
+        run(exchange, [&routing, exchange] { return routing.putRouting(exchange->body()); });
     } else if (path == platform_wire::configPath && method == "GET") {
         const bool isTaken = m_orders.tryPush([this, &routing, exchange] {
             const routing_read read = routing.read();
--- a/src/platform/platform_settings.cc
+++ b/src/platform/platform_settings.cc
@@ -19,6 +19,8 @@
 // callers go on using a stopped instance for as long.
 constexpr std::chrono::milliseconds longestDirectoryLifetime{2'000};
 
+constexpr double bytesPerMegabit = 1e6 / 8;
+
 json objectField(const json &object, const char *name)
 {
     const auto found = object.find(name);
@@ -91,6 +93,12 @@
             result.regionOfDomain[zone] = region.is_string() ? region.get<std::string>() : "";
         readAddresses(all, result);
         readBounds(all, result);
+        const json limits = objectField(all, "limits");
+        result.linkBytesPerSecond
+            = numberField(limits, "link_mbps", result.linkBytesPerSecond / bytesPerMegabit)
+            * bytesPerMegabit;
+        if (!(result.linkBytesPerSecond > 0))
+            throw settings_error("'link_mbps' must be above 0");
         result.isFirstStart = flagField(all, "bootstrap", false);
         result.dataFolder = textField(all, "data_dir", "");
         const json list = objectField(all, "cloud");
--- a/src/steering/region_share.cc
+++ b/src/steering/region_share.cc
@@ -40,17 +40,43 @@
 
 void region_share::start(const std::map<std::string, region_state> &regions)
 {
-    const auto weightOf = [this](const auto &item) {
-        return item.second.slots * (item.first == m_own ? m_limits.homeWeight : 1);
+    double slots = 0;
+    double entries = 0;
+    for (const auto &[region, state] : regions) {
+        slots += state.slots;
+        entries += state.entries;
+    }
+    const auto slotsPart = [&](const region_state &state) { return state.slots / slots; };
+    const auto callersPart = [&](const region_state &state) {
+        return entries > 0 ? state.entries / entries : 1.0 / static_cast<double>(regions.size());
     };
-    double weights = 0;
-    for (const auto &item : regions)
-        weights += weightOf(item);
     m_isStarted = true;
     m_shares.clear();
-    for (const auto &item : regions)
-        if (item.first != m_own && item.second.slots > 0)
-            m_shares[item.first] = weightOf(item) / weights;
+    const region_state &own = regions.at(m_own);
+    const double away
+        = callersPart(own) > 0 ? 1 - slotsPart(own) / callersPart(own) : 0; // of the own callers
+    if (away <= 0)
+        return;
+    double spare = 0;
+    for (const auto &[region, state] : regions)
+        spare += std::max(0.0, slotsPart(state) - callersPart(state));
+    for (const auto &[region, state] : regions) {
+        const double part = std::max(0.0, slotsPart(state) - callersPart(state));
+        if (region != m_own && part > 0)
+            m_shares[region] = away * part / spare;
+    }
+}
+
+bool region_share::comeHome(const std::map<std::string, region_state> &regions)
+{
+    const auto utilizationOf = [&](const auto &item) { return regions.at(item.first).utilization; };
+    const auto from = std::ranges::max_element(m_shares, {}, utilizationOf);
+    if (from == m_shares.end())
+        return false;
+    from->second -= std::min(from->second, m_limits.step);
+    if (from->second <= 0)
+        m_shares.erase(from);
+    return true;
 }
 
 bool region_share::update(const std::map<std::string, region_state> &regions, steady_time now)
@@ -97,8 +123,11 @@
         m_shares[least->first] += m_limits.step;
         return true;
     }
-    if (most == nullptr || most->second.utilization < m_limits.highUtilization)
+    if (most == nullptr)
         return false;
+    if (most->second.utilization < m_limits.highUtilization)
+        return ownUse >= m_limits.idleUtilization && ownUse < m_limits.lowUtilization
+            && comeHome(regions);
     // The most loaded region gives to the least loaded one, which may be the own.
     const bool isOwnLeast
         = least == nullptr || ownUse <= least->second.utilization + m_limits.least / 2;
--- a/src/steering/region_share.h
+++ b/src/steering/region_share.h
@@ -13,18 +13,21 @@
 struct region_state
 {
     double slots = 0; // of usable upstreams
+    double entries = 0; // entry instances, which are deployed in proportion to the callers
     double utilization = 0; // requests running and waiting, for each slot
 };
 
 // Which share of one region's requests to a service other regions serve.
 //
-// An object that is requested in all regions is warm sooner, and takes less room, if all of them
-// send it to the same region. So the share starts from the slots of the regions, with `homeWeight`
-// for the own one: a higher weight saves round trips and bytes between regions and costs cold
-// starts. Then the share follows utilization, by at most `step` in an interval: the callers' region
-// may change only so fast, because a fast shift meets cold upstreams and overshoots on measurements
-// that lag. Only the loss of all upstreams in the own region moves everything at once. Which
-// requests leave is decided by a hash of their object, so that an object moves once and stays.
+// At the start nothing is warm, and a region with few upstreams for its callers would be overloaded
+// by them. So a region keeps the part of its callers' requests that its part of the slots is meant
+// for; the rest goes where slots are left. Then the share follows utilization, by at most `step` in
+// an interval: away from a region that is highly utilized, and home again when the own region has
+// room, because a request to another region costs a round trip and bytes between regions. The
+// callers' region may change only so fast, because a fast shift meets cold upstreams and overshoots
+// on measurements that lag. Only the loss of all upstreams in the own region moves everything at
+// once. Which requests leave is decided by a hash of their object, so that an object moves once and
+// stays.
 class region_share
 {
 public:
@@ -35,7 +38,8 @@
         double step = 0.05; // share of requests that may change region in an interval
         double highUtilization = 0.75; // of a region, above which others take its requests
         double least = 0.2; // difference of utilization that makes a move worthwhile
-        double homeWeight = 3;
+        double lowUtilization = 0.45; // of the own region, below which requests come home
+        double idleUtilization = 0.08; // below which there are too few requests to judge by
     };
 
     region_share(std::string ownRegion, const limits &bounds);
@@ -51,6 +55,8 @@
 
 private:
     void start(const std::map<std::string, region_state> &regions);
+    // Moves a step from the most utilized other region to the own one.
+    bool comeHome(const std::map<std::string, region_state> &regions);
     void leaveHome(const std::map<std::string, region_state> &regions);
     double total() const;
 
--- a/testing/scripted_server.cc
+++ b/testing/scripted_server.cc
@@ -55,33 +55,59 @@
     handlers.onClosed = [this, &added](close_reason) {
         if (added.isWaiting)
             ++m_abandoned;
+        if (added.decoder)
+            ++m_brokenOff;
     };
     added.socket->setHandlers(std::move(handlers));
 }
 
-void scripted_server::read(peer &from)
+void scripted_server::answerHeadsWith(script answer)
+{
+    m_headScript = std::move(answer);
+}
+
+bool scripted_server::readHead(peer &from)
 {
     std::string &input = from.socket->input();
     const auto end = findHeadEnd(input);
     if (!end)
+        return false;
+    from.head = input.substr(0, *end);
+    from.body.clear();
+    from.decoder.emplace(parseRequestHead(from.head));
+    input.erase(0, *end);
+    ++m_heads;
+    if (m_headScript && !from.decoder->isComplete())
+        send(from, m_headScript(from.head));
+    return true;
+}
+
+void scripted_server::read(peer &from)
+{
+    if (!from.decoder && !readHead(from))
         return;
-    const http_head head = parseRequestHead(std::string_view(input).substr(0, *end));
-    const std::size_t size = *end + static_cast<std::size_t>(head.contentLength);
-    if (input.size() < size)
+    std::string &input = from.socket->input();
+    if (!from.decoder->isComplete())
+        input.erase(0, from.decoder->decode(input, from.body));
+    if (!from.decoder->isComplete())
         return;
-    const std::string request = input.substr(0, size);
-    input.erase(0, size);
+    from.decoder.reset();
+    const std::string request = from.head + from.body;
     {
         const std::lock_guard lock(m_mutex);
         m_requests.push_back(request);
     }
-    const scripted_answer answer = m_script(request);
-    from.isWaiting = answer.bytes.empty() && !answer.closes && !answer.resets;
-    from.socket->send(answer.bytes);
+    send(from, m_script(request));
+}
+
+void scripted_server::send(peer &to, const scripted_answer &answer)
+{
+    to.isWaiting = answer.bytes.empty() && !answer.closes && !answer.resets;
+    to.socket->send(answer.bytes);
     if (answer.resets)
-        from.socket->reset();
+        to.socket->reset();
     else if (answer.closes)
-        from.socket->close();
+        to.socket->close();
 }
 
 std::string scriptedResponse(int status, const std::string &fields, const std::string &body)
--- a/testing/scripted_server.h
+++ b/testing/scripted_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/body_decoder.h"
 #include "net/event_loop.h"
 #include "net/stream_socket.h"
 
@@ -8,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -55,31 +57,45 @@
     scripted_server(const scripted_server &) = delete;
     scripted_server &operator=(const scripted_server &) = delete;
 
+    // Answers each request as soon as its head has arrived, in place of the script.
+    void answerHeadsWith(script answer);
     std::string address() const { return m_listener.address().toString(); }
-    // Requests that arrived whole.
+    // Requests that arrived whole, with the body as it was before it was sent in chunks.
     std::vector<std::string> requests() const;
     // Connections that the other side closed while a request had no answer.
     std::size_t abandoned() const { return m_abandoned; }
     std::size_t connections() const { return m_accepted; }
+    // Heads of requests that arrived.
+    std::size_t heads() const { return m_heads; }
+    // Connections that the other side closed in the middle of a request.
+    std::size_t brokenOff() const { return m_brokenOff; }
 
 private:
     struct peer
     {
         std::unique_ptr<stream_socket> socket;
         bool isWaiting = false; // a request has no answer
+        std::string head; // of the request whose body is being read
+        std::string body;
+        std::optional<body_decoder> decoder;
     };
 
     void accept(int descriptor);
     void read(peer &from);
+    bool readHead(peer &from);
+    void send(peer &to, const scripted_answer &answer);
 
     event_loop &m_loop;
     script m_script;
+    script m_headScript;
     stream_listener m_listener;
     std::vector<std::unique_ptr<peer>> m_peers;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::atomic<std::size_t> m_abandoned = 0;
     std::atomic<std::size_t> m_accepted = 0;
+    std::atomic<std::size_t> m_heads = 0;
+    std::atomic<std::size_t> m_brokenOff = 0;
 };
 
 // A response with Content-Length; `fields` are lines that end with CR LF.
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -4,6 +4,7 @@
 #include "testing/scripted_server.h"
 #include "testing/wait.h"
 
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -48,13 +49,22 @@
     return result;
 }
 
+constexpr std::size_t streamedBytes = 1'000;
+
+http_server_options serverOptions()
+{
+    http_server_options result;
+    result.streamedBytes = streamedBytes;
+    return result;
+}
+
 // A carrier behind a server, in front of scripted upstreams "u0", "u1" ... of service "s".
 class carrying
 {
 public:
     explicit carrying(std::vector<scripted_server::script> scripts)
         : m_carrier(m_thread.loop(), m_settings, protocol, m_events, m_metrics)
-        , m_server(m_thread.loop(), {"127.0.0.1", 0}, {},
+        , m_server(m_thread.loop(), {"127.0.0.1", 0}, serverOptions(),
                    [this](const exchange_pointer &exchange) { m_carrier.handle(exchange); })
     {
         upstream_listing listing;
@@ -135,6 +145,13 @@
     return {scriptedResponse(200, echo(request) + protocol.seal + ": s\r\n", "done")};
 }
 
+std::string uploadHead(bool isChunked, std::size_t size)
+{
+    return fmt::format(
+        "POST /once/x HTTP/1.1\r\nHost: test\r\n{}: up\r\n{}\r\n\r\n", protocol.requestId,
+        isChunked ? "Transfer-Encoding: chunked" : fmt::format("Content-Length: {}", size));
+}
+
 scripted_answer refuse(const std::string &request)
 {
     return {scriptedResponse(503, echo(request) + protocol.notRun + ": 1\r\n", "")};
@@ -160,6 +177,9 @@
     CPPUNIT_TEST(drainingAndEvacuatedUpstreamsGetNothing);
     CPPUNIT_TEST(coldUpstreamGetsItsRateOnly);
     CPPUNIT_TEST(routeWithHomesStaysThere);
+    CPPUNIT_TEST(longBodyReachesTheUpstreamWhileItArrives);
+    CPPUNIT_TEST(brokenOffUploadNeverRuns);
+    CPPUNIT_TEST(earlyAnswerToAnUploadEndsItsConnection);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
     CPPUNIT_TEST_SUITE_END();
 
@@ -370,6 +390,62 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, system.arrivals());
     }
 
+    void longBodyReachesTheUpstreamWhileItArrives()
+    {
+        carrying system({answerOk});
+        const std::string body(5'000, 'b');
+        for (const bool isChunked : {false, true}) {
+            http_connection caller{
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address()))};
+            const std::size_t before = system.upstreams[0]->heads();
+            caller.send(uploadHead(isChunked, body.size()));
+            caller.send((isChunked ? fmt::format("{:x}\r\n", body.size()) : "")
+                        + body.substr(0, 2'000));
+            waitUntil("the upstream has the head",
+                      [&] { return system.upstreams[0]->heads() == before + 1; });
+            CPPUNIT_ASSERT_EQUAL(before, system.upstreams[0]->requests().size());
+            caller.send(body.substr(2'000) + (isChunked ? "\r\n0\r\n\r\n" : ""));
+            Poco::Net::HTTPResponse head;
+            CPPUNIT_ASSERT(caller.readHead(head));
+            CPPUNIT_ASSERT_EQUAL(200, static_cast<int>(head.getStatus()));
+            CPPUNIT_ASSERT(system.upstreams[0]->requests().back().ends_with("\r\n\r\n" + body));
+        }
+    }
+
+    // Guards against half an upload that an upstream takes for a whole one.
+    void brokenOffUploadNeverRuns()
+    {
+        carrying system({answerOk});
+        {
+            http_connection caller{
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address()))};
+            caller.send(uploadHead(false, 5'000) + std::string(2'000, 'b'));
+            waitUntil("the upstream has the head",
+                      [&] { return system.upstreams[0]->heads() == 1; });
+            caller.reset();
+        }
+        waitUntil("the upstream's connection ends",
+                  [&] { return system.upstreams[0]->brokenOff() == 1; });
+        CPPUNIT_ASSERT(system.upstreams[0]->requests().empty());
+    }
+
+    // An upstream may answer an upload before it has read it. Guards against a connection that is
+    // used again while the rest of the body is due there.
+    void earlyAnswerToAnUploadEndsItsConnection()
+    {
+        carrying system({answerOk});
+        system.upstreams[0]->answerHeadsWith(answerOk);
+        http_connection caller{Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address()))};
+        caller.send(uploadHead(false, 5'000) + std::string(2'000, 'b'));
+        Poco::Net::HTTPResponse head;
+        CPPUNIT_ASSERT(caller.readHead(head));
+        CPPUNIT_ASSERT_EQUAL(200, static_cast<int>(head.getStatus()));
+        waitUntil("the upstream's connection ends",
+                  [&] { return system.upstreams[0]->brokenOff() == 1; });
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.upstreams[0]->connections());
+    }
+
     void unknownRouteAndMissingDocument()
     {
         carrying system({answerOk});
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -34,7 +34,7 @@
                            held.push_back(exchange);
                            ++heldCount;
                        } else {
-                           exchange->respond(200, {}, exchange->head.target + exchange->body);
+                           exchange->respond(200, {}, exchange->head.target + exchange->body());
                        }
                    })
     {
@@ -81,6 +81,10 @@
     CPPUNIT_TEST(stopAnswersEverythingBeforeItCloses);
     CPPUNIT_TEST(boundsBufferedBodies);
     CPPUNIT_TEST(abortedResponseIsNoAnswer);
+    CPPUNIT_TEST(longBodyIsHandedOnWhileItArrives);
+    CPPUNIT_TEST(earlyResponseLeavesTheNextRequestWhole);
+    CPPUNIT_TEST(brokenOffBodyEndsItsRequest);
+    CPPUNIT_TEST(streamedBodiesAreReadAtTheirRate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +189,98 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/xabc"), readBody(third));
     }
 
+    // Guards against a large upload that takes the time of the link twice, in and out.
+    void longBodyIsHandedOnWhileItArrives()
+    {
+        http_server_options options;
+        options.streamedBytes = 1'000;
+        held_server server(options);
+        for (const bool isChunked : {false, true}) {
+            const int before = server.heldCount;
+            http_connection connection(server.connect());
+            connection.send(
+                request("/hold",
+                        isChunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: 3000\r\n"));
+            connection.send((isChunked ? "bb8\r\n" : "") + std::string(2'000, 'x'));
+            waitUntil("it is handed on", [&] { return server.heldCount == before + 1; });
+            exchange_pointer exchange;
+            server.thread().call([&] {
+                exchange = server.held.back();
+                CPPUNIT_ASSERT(!exchange->isBodyComplete());
+            });
+            connection.send(std::string(1'000, 'y') + (isChunked ? "\r\n0\r\n\r\n" : ""));
+            waitUntil("the body is whole", [&] {
+                bool isComplete = false;
+                server.thread().call([&] { isComplete = exchange->isBodyComplete(); });
+                return isComplete;
+            });
+            server.thread().call([&] {
+                CPPUNIT_ASSERT(exchange->body()
+                               == std::string(2'000, 'x') + std::string(1'000, 'y'));
+                exchange->respond(200, {}, "done");
+            });
+            CPPUNIT_ASSERT_EQUAL(std::string("done"), readBody(connection));
+        }
+    }
+
+    // Guards against the rest of a body that is taken for the next request.
+    void earlyResponseLeavesTheNextRequestWhole()
+    {
+        http_server_options options;
+        options.streamedBytes = 1'000;
+        held_server server(options);
+        http_connection connection(server.connect());
+        connection.send(request("/early", "Content-Length: 3000\r\n") + std::string(1'500, 'x'));
+        readBody(connection);
+        connection.send(std::string(1'500, 'y') + request("/next"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/next"), readBody(connection));
+    }
+
+    void brokenOffBodyEndsItsRequest()
+    {
+        http_server_options options;
+        options.streamedBytes = 1'000;
+        held_server server(options);
+        {
+            http_connection connection(server.connect());
+            connection.send(request("/hold", "Content-Length: 3000\r\n") + std::string(2'000, 'x'));
+            waitUntil("it is handed on", [&] { return server.heldCount == 1; });
+            connection.reset();
+        }
+        waitUntil("the caller's end is noticed", [&] { return server.gone == 1; });
+        http_connection connection(server.connect());
+        connection.send(request("/hold", "Transfer-Encoding: chunked\r\n") + "7d0\r\n"
+                        + std::string(2'000, 'x'));
+        waitUntil("it is handed on", [&] { return server.heldCount == 2; });
+        connection.send("no chunk\r\n");
+        Poco::Net::HTTPResponse head;
+        CPPUNIT_ASSERT(connection.readHead(head));
+        CPPUNIT_ASSERT_EQUAL(400, static_cast<int>(head.getStatus()));
+        CPPUNIT_ASSERT_EQUAL(2, server.gone.load());
+    }
+
+    // Guards against uploads that fill a thin link, so that all other requests wait in its queue.
+    void streamedBodiesAreReadAtTheirRate()
+    {
+        http_server_options options;
+        options.streamedBytes = 1'000;
+        options.bodyBytesPerSecond = 200'000;
+        held_server server(options);
+        http_connection connection(server.connect());
+        const auto start = std::chrono::steady_clock::now();
+        connection.send(request("/hold", "Content-Length: 100000\r\n") + std::string(100'000, 'x'));
+        waitUntil("the body is whole", [&] {
+            bool isComplete = false;
+            server.thread().call(
+                [&] { isComplete = !server.held.empty() && server.held[0]->isBodyComplete(); });
+            return isComplete;
+        });
+        // What was read before the request was handed on, up to 64 KB, is not counted.
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start >= 150ms);
+        server.thread().call([&] { server.held[0]->respond(200, {}, "ok"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), readBody(connection));
+    }
+
     void abortedResponseIsNoAnswer()
     {
         held_server server;
--- a/tests/steering/shared_budgets_test.cc
+++ b/tests/steering/shared_budgets_test.cc
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(repeatsStayWithinTheBudgetOfAll);
     CPPUNIT_TEST(regionSharesMoveByAStepAtMost);
     CPPUNIT_TEST(lostRegionMovesEverything);
+    CPPUNIT_TEST(startFollowsSlotsAndCallers);
+    CPPUNIT_TEST(shareComesHomeWhenThereIsRoom);
     CPPUNIT_TEST(shareMovesFewObjects);
     CPPUNIT_TEST_SUITE_END();
 
@@ -119,7 +121,7 @@
             region_share::limits limits;
             region_share share("a", limits);
             std::map<std::string, region_state> regions
-                = {{"a", {8, 0}}, {"b", {32, 0}}, {"c", {40, 0}}};
+                = {{"a", {8, 4, 0}}, {"b", {32, 3, 0}}, {"c", {40, 4, 0}}};
             share.update(regions, start);
             auto before = share.shares();
             for (auto now = start; now < start + 60s; now += 200ms) {
@@ -145,7 +147,7 @@
     void lostRegionMovesEverything()
     {
         region_share share("a", {});
-        std::map<std::string, region_state> regions = {{"a", {8, 0.2}}, {"b", {32, 0.2}}};
+        std::map<std::string, region_state> regions = {{"a", {8, 1, 0.2}}, {"b", {32, 1, 0.2}}};
         share.update(regions, start);
         regions["a"].slots = 0;
         share.update(regions, start + 10ms);
@@ -156,13 +158,59 @@
         CPPUNIT_ASSERT(share.shares().at("b") < 1);
     }
 
+    // Guards against a start at which a region with few upstreams gets all of its callers'
+    // requests.
+    void startFollowsSlotsAndCallers()
+    {
+        const std::map<std::string, region_state> regions
+            = {{"a", {10, 20, 0}}, {"b", {40, 20, 0}}, {"c", {50, 20, 0}}};
+        region_share few("a", {});
+        few.update(regions, start);
+        // A tenth of the slots for a third of the callers: 0.3 of them stay.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, few.shares().at("b") + few.shares().at("c"), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7 * 0.2 / 0.7, few.shares().at("b"), 1e-9);
+        region_share many("c", {});
+        many.update(regions, start);
+        CPPUNIT_ASSERT(many.shares().empty());
+    }
+
+    // Guards against callers that go on being served in other regions, a round trip away, although
+    // their own has room again.
+    void shareComesHomeWhenThereIsRoom()
+    {
+        region_share share("a", {});
+        std::map<std::string, region_state> regions
+            = {{"a", {8, 4, 0.3}}, {"b", {32, 3, 0.2}}, {"c", {40, 4, 0.2}}};
+        share.update(regions, start);
+        CPPUNIT_ASSERT(share.shares().at("b") > 0.1);
+        for (auto now = start; now < start + 120s; now += 200ms)
+            share.update(regions, now);
+        CPPUNIT_ASSERT(share.shares().empty());
+        // Before the first requests nothing moves: all would meet cold upstreams at home.
+        region_share idle("a", {});
+        regions["a"].utilization = 0;
+        idle.update(regions, start);
+        const auto atStart = idle.shares();
+        for (auto now = start; now < start + 20s; now += 200ms)
+            CPPUNIT_ASSERT(!idle.update(regions, now));
+        CPPUNIT_ASSERT(idle.shares() == atStart);
+        regions["a"].utilization = 0.9;
+        share.update(regions, start + 130s);
+        CPPUNIT_ASSERT(!share.shares().empty());
+        // Between the two bounds nothing moves.
+        const auto before = share.shares();
+        regions["a"].utilization = 0.6;
+        CPPUNIT_ASSERT(!share.update(regions, start + 140s));
+        CPPUNIT_ASSERT(share.shares() == before);
+    }
+
     // Guards against a small change of shares that sends most objects to upstreams that do not have
     // them warm.
     void shareMovesFewObjects()
     {
         region_share share("a", {});
         std::map<std::string, region_state> regions
-            = {{"a", {32, 1.5}}, {"b", {32, 0.1}}, {"c", {32, 0.1}}};
+            = {{"a", {32, 1, 1.5}}, {"b", {32, 1, 0.1}}, {"c", {32, 1, 0.1}}};
         share.update(regions, start);
         constexpr std::uint64_t objects = 4'000;
         std::vector<std::string> before;
