--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -77,6 +77,13 @@
     std::make_shared<carried_request>(*this, exchange)->start();
 }
 
+void carrier::recordInvalid(const std::string &reason)
+{
+    m_metrics.counter("buckthorngrade_invalid_requests_total").add();
+    if (m_log.admits(event_id::invalid_request))
+        m_log.write(event_id::invalid_request, {{"reason", reason}});
+}
+
 void carrier::setRouting(std::shared_ptr<const route_table> routes)
 {
     m_routes = std::move(routes);
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -45,6 +45,8 @@
     void setUpstreams(const upstream_listing &listing);
     void setInstances(std::vector<peer_instance> instances);
     void setRegionLoads(const std::vector<wire::region_load> &loads);
+    // Logs a request that was rejected as malformed, within the bounds of the log.
+    void recordInvalid(const std::string &reason);
     // From now on new requests are refused.
     void stopTaking() { m_isStopping = true; }
 
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -50,9 +50,7 @@
     http_server_options options;
     options.streamedBytes = streamedBytes;
     options.bodyBytesPerSecond = bodyShareOfLink * m_settings.linkBytesPerSecond;
-    options.onInvalid = [this](const std::string &reason) {
-        m_events.write(event_id::invalid_request, {{"reason", reason}});
-    };
+    options.onInvalid = [this](const std::string &reason) { m_carrier.recordInvalid(reason); };
     m_server = std::make_unique<http_server>(
         loop, socket_address::parse(m_settings.entryAddress), options,
         [this](const exchange_pointer &exchange) { m_carrier.handle(exchange); });
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -77,6 +77,10 @@
           "upstream list", listPeriod, [this] { m_lister.run(); }, events)
 {
     m_replica->start(std::move(onFailure));
+    // The first election after a restart of the whole group would otherwise time out while
+    // connections to the voters, and theirs back, are made.
+    for (const member_status &member : m_replica->membership().members)
+        m_link.connect(member.id);
     metrics.gauge("buckthorngrade_is_leader", "",
                   [this] { return m_replica->view().isLeader ? 1.0 : 0.0; });
     metrics.gauge("buckthorngrade_routing_version", "",
--- a/src/control/peer_link.cc
+++ b/src/control/peer_link.cc
@@ -118,6 +118,11 @@
     return &addPeer(id, m_settings.addressOf(id));
 }
 
+void peer_link::connect(replica_id to)
+{
+    findPeer(to);
+}
+
 void peer_link::received(replica_id from)
 {
     if (peer *sender = findPeer(from))
--- a/src/control/peer_link.h
+++ b/src/control/peer_link.h
@@ -48,6 +48,9 @@
     peer_link &operator=(const peer_link &) = delete;
 
     void send(replica_id to, std::string bytes) override;
+    // Opens the connection to a replica before there is something to send, so that the first
+    // message does not wait for it. Thread-safe.
+    void connect(replica_id to);
     // A message came from `from`, by whatever connection. Thread-safe.
     void received(replica_id from);
     // Ends all streams. Idempotent.
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -35,6 +35,16 @@
     return result;
 }
 
+class line_counter final : public event_log
+{
+public:
+    std::uint32_t lines = 0;
+
+protected:
+    bool isEnabled(log_level) const override { return true; }
+    void writeLine(std::string_view) override { ++lines; }
+};
+
 route routeFor(const std::string &prefix, request_kind kind)
 {
     route result;
@@ -180,6 +190,7 @@
     CPPUNIT_TEST(longBodyReachesTheUpstreamWhileItArrives);
     CPPUNIT_TEST(brokenOffUploadNeverRuns);
     CPPUNIT_TEST(earlyAnswerToAnUploadEndsItsConnection);
+    CPPUNIT_TEST(malformedRequestsAreLoggedWithinBounds);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
     CPPUNIT_TEST_SUITE_END();
 
@@ -446,6 +457,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.upstreams[0]->connections());
     }
 
+    // Guards against a storm of malformed requests that fills the log.
+    void malformedRequestsAreLoggedWithinBounds()
+    {
+        line_counter events;
+        event_loop loop;
+        metric_registry metrics;
+        const node_settings settings = nodeSettings();
+        carrier carrying(loop, settings, protocol, events, metrics);
+        for (int i = 0; i < 1'000; ++i)
+            carrying.recordInvalid("a request needs one Host field");
+        CPPUNIT_ASSERT_EQUAL(request_log::linesPerSecond, events.lines);
+    }
+
     void unknownRouteAndMissingDocument()
     {
         carrying system({answerOk});
--- a/tests/control/peer_link_test.cc
+++ b/tests/control/peer_link_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -83,6 +84,20 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
+class connection_counter final : public event_log
+{
+public:
+    std::atomic<int> connections = 0;
+
+protected:
+    bool isEnabled(log_level) const override { return true; }
+    void writeLine(std::string_view line) override
+    {
+        if (line.find("peer_connected") != std::string_view::npos)
+            ++connections;
+    }
+};
+
 peer_link::settings settingsFor(const std::string &cluster, int port)
 {
     peer_link::settings settings;
@@ -100,6 +115,7 @@
 {
     CPPUNIT_TEST_SUITE(peer_link_test);
     CPPUNIT_TEST(deliversAndBoundsMessages);
+    CPPUNIT_TEST(connectsBeforeTheFirstMessage);
     CPPUNIT_TEST(reconnectsAfterRestart);
     CPPUNIT_TEST(rejectsOtherClusters);
     CPPUNIT_TEST_SUITE_END();
@@ -124,6 +140,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), end.count());
     }
 
+    // Guards against a first vote that waits until connections to all voters are made.
+    void connectsBeforeTheFirstMessage()
+    {
+        receiving_end end(2, 0);
+        peer_link::settings open = settingsFor("c", end.port());
+        open.addresses.clear();
+        open.addressOf = [&](replica_id) { return fmt::format("127.0.0.1:{}", end.port()); };
+        connection_counter events;
+        peer_link link(open, events, m_metrics);
+        link.connect(2);
+        CPPUNIT_ASSERT(waitFor([&] { return events.connections == 1; }));
+    }
+
     // Guards against a sender that stays silent after its peer restarted.
     void reconnectsAfterRestart()
     {
