Start shares from all instances; take unknown upstreams for average; free requests at the end

And a quarter of the lookups went to an upstream that was not their object's first: an upstream without a recent response was taken to need 0.4 of the latency target, while those in use showed the time with queues and link, so requests left warm upstreams for cold ones.

Change: until there are requests anywhere, the start share follows the instances and slots that are known. An upstream without a recent response is taken for the service's mean.

The requests under way when a carrier ends are given up, so that they are freed: the leak that the address sanitizer showed in test_carrier is gone.

Failing first: startFollowsSlotsAndCallers (early start), slowServiceKeepsObjectsWhereTheyAre.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -136,9 +136,27 @@
     , m_exchange(std::move(exchange))
     , m_id(m_exchange->head.get(owner.m_protocol.requestId))
     , m_routes(owner.m_routes)
-{ }
+{
+    m_owner.m_underWay.insert(this);
+}
+
+carried_request::~carried_request()
+{
+    m_owner.m_underWay.erase(this);
+}
 
-carried_request::~carried_request() = default;
+void carried_request::abandon()
+{
+    m_isFinished = true;
+    m_exchange->onCallerGone = nullptr;
+    m_exchange->onBody = nullptr;
+    m_owner.m_loop.cancel(m_timeoutTimer);
+    m_owner.m_loop.cancel(m_connectTimer);
+    if (m_client)
+        m_client->cancel();
+    m_client.reset();
+    m_upstream.reset();
+}
 
 std::chrono::milliseconds carried_request::timeLeft() const
 {
@@ -326,8 +344,8 @@
     const bool isFailure = notRun || status >= firstServerError;
     upstream.recordOutcome(isFailure, now);
     if (!isFailure) {
-        upstream.recordServiceTime(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sentAt), now);
+        m_owner.recordServiceTime(
+            upstream, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sentAt));
         if (m_affinity)
             upstream.recordHandled(*m_affinity, now);
     }
--- a/src/carrier/carried_request.h
+++ b/src/carrier/carried_request.h
@@ -24,6 +24,8 @@
     ~carried_request();
 
     void start();
+    // Gives the request up without an answer, at the end of the process.
+    void abandon();
 
 private:
     void attempt();
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds leftOutPeriod{1'000};
 // Before anything was measured: the work of a request takes this part of its latency target.
 constexpr double assumedWorkShare = 0.4;
+constexpr double meanSmoothing = 0.05; // weight of a new sample in a service's mean
 constexpr std::chrono::milliseconds assumedTarget{500}; // for routes without one
 // A connection across failure domains costs more than the round trip that a request needs anyway.
 constexpr std::chrono::duration<double, std::milli> otherDomainTrip{8};
@@ -70,7 +71,14 @@
     loop.runEvery(leftOutPeriod, [this] { m_log.reportLeftOut(); });
 }
 
-carrier::~carrier() = default;
+carrier::~carrier()
+{
+    // The callbacks of a request under way hold it, so it would never be freed.
+    std::vector<std::shared_ptr<carried_request>> requests;
+    for (carried_request *request : m_underWay)
+        requests.push_back(request->shared_from_this());
+    std::ranges::for_each(requests, &carried_request::abandon);
+}
 
 void carrier::handle(const exchange_pointer &exchange)
 {
@@ -111,6 +119,14 @@
         m_sharedLoads[{load.service(), load.region()}] = load.requests();
 }
 
+void carrier::recordServiceTime(upstream_state &upstream, std::chrono::milliseconds time)
+{
+    upstream.recordServiceTime(time, m_loop.now());
+    const auto sample = static_cast<double>(time.count());
+    double &mean = stateOf(upstream.listed.service).serviceMs;
+    mean = mean == 0 ? sample : mean * (1 - meanSmoothing) + sample * meanSmoothing;
+}
+
 carrier::service_state &carrier::stateOf(const std::string &service)
 {
     const auto found = m_services.find(service);
@@ -240,6 +256,11 @@
 
     const placement_request request{
         affinity, random, route.latencyTarget.count() > 0 ? route.latencyTarget : assumedTarget};
+    // An upstream without a recent response is taken for an average one. A guess below what others
+    // show would draw requests away from upstreams that have their objects warm.
+    const double mean = stateOf(service).serviceMs;
+    const auto usualTime = mean > 0 ? std::chrono::duration<double, std::milli>(mean)
+                                    : request.latencyTarget * assumedWorkShare;
     std::vector<placement_candidate> candidates;
     candidates.reserve(usable.size());
     for (const upstream_state *upstream : usable) {
@@ -249,7 +270,7 @@
         candidate.load = upstream->estimatedLoad(now);
         candidate.serviceTime = upstream->isServiceTimeKnown(now)
             ? std::chrono::duration<double, std::milli>(upstream->serviceMs)
-            : request.latencyTarget * assumedWorkShare;
+            : usualTime;
         candidate.failureShare = upstream->estimatedFailureShare(now);
         candidate.isWarm = affinity && upstream->isWarmFor(*affinity, now);
         candidate.roundTrip = tripTo(*upstream);
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -19,6 +19,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace buckthorngrade {
@@ -62,6 +63,7 @@
     {
         retry_budget budget;
         region_share share;
+        double serviceMs = 0; // mean time of recent responses of all its upstreams; 0: none yet
     };
 
     // An upstream for an attempt, and what was known of it at that moment.
@@ -78,6 +80,8 @@
     choice choose(const route &route, const std::string &service,
                   const std::optional<std::uint64_t> &affinity, std::uint64_t bodyBytes,
                   const std::set<std::string> &excluded);
+    // Counts a response that took `time`, the way there and back included.
+    void recordServiceTime(upstream_state &upstream, std::chrono::milliseconds time);
     service_state &stateOf(const std::string &service);
     void updateShares();
     // Time that the network takes for a request and its response.
@@ -99,6 +103,7 @@
     std::vector<peer_instance> m_instances;
     std::map<std::pair<std::string, std::string>, double> m_sharedLoads; // requests of all
                                                                          // instances
+    std::unordered_set<carried_request *> m_underWay;
     std::mt19937_64 m_random;
     bool m_isStopping = false;
 };
--- a/src/steering/region_share.cc
+++ b/src/steering/region_share.cc
@@ -90,11 +90,17 @@
             leaveHome(regions);
         return isNew;
     }
-    if (m_isForced || !m_isStarted) {
+    m_hasRequests = m_hasRequests || std::ranges::any_of(regions, [](const auto &item) {
+                        return item.second.utilization > 0;
+                    });
+    // Until there are requests, nothing moves; instances and upstreams may still be joining.
+    if (m_isForced || !m_isStarted || !m_hasRequests) {
+        const auto before = m_shares;
+        const bool wasStarted = m_isStarted;
         m_isForced = false;
         m_changedAt = now;
         start(regions);
-        return m_isStarted;
+        return !wasStarted || m_shares != before;
     }
     if (now - m_changedAt < interval)
         return false;
--- a/src/steering/region_share.h
+++ b/src/steering/region_share.h
@@ -64,6 +64,7 @@
     limits m_limits;
     std::map<std::string, double> m_shares; // of other regions; the rest stays
     bool m_isStarted = false;
+    bool m_hasRequests = false; // any region ever had requests
     bool m_isForced = false; // the own region has no upstream
     steady_time m_changedAt;
 };
--- a/testing/scripted_server.cc
+++ b/testing/scripted_server.cc
@@ -78,7 +78,7 @@
     input.erase(0, *end);
     ++m_heads;
     if (m_headScript && !from.decoder->isComplete())
-        send(from, m_headScript(from.head));
+        answer(from, m_headScript(from.head));
     return true;
 }
 
@@ -97,7 +97,15 @@
         const std::lock_guard lock(m_mutex);
         m_requests.push_back(request);
     }
-    send(from, m_script(request));
+    answer(from, m_script(request));
+}
+
+void scripted_server::answer(peer &to, const scripted_answer &answer)
+{
+    if (answer.delay.count() > 0)
+        m_loop.runAfter(answer.delay, [this, &to, answer] { send(to, answer); });
+    else
+        send(to, answer);
 }
 
 void scripted_server::send(peer &to, const scripted_answer &answer)
--- a/testing/scripted_server.h
+++ b/testing/scripted_server.h
@@ -43,6 +43,7 @@
     std::string bytes; // sent as they are; empty: nothing is answered
     bool closes = false; // cleanly, after the bytes
     bool resets = false; // in place of a clean close
+    std::chrono::milliseconds delay{0}; // before all that
 };
 
 // Answers whole requests with whatever bytes a test wants, to play upstreams that misbehave.
@@ -83,6 +84,7 @@
     void accept(int descriptor);
     void read(peer &from);
     bool readHead(peer &from);
+    void answer(peer &to, const scripted_answer &answer);
     void send(peer &to, const scripted_answer &answer);
 
     event_loop &m_loop;
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -105,12 +105,14 @@
     carrying &operator=(const carrying &) = delete;
 
     http_response send(const std::string &path, const std::string &id = "id-1",
-                       const std::string &body = {})
+                       const std::string &body = {}, const std::string &object = {})
     {
         http_request request;
         request.method = body.empty() ? "GET" : "POST";
         request.path = path;
         request.headers = {{protocol.requestId, id}, {protocol.deadlineMs, "30000"}};
+        if (!object.empty())
+            request.headers["Cookie"] = protocol.affinityCookie + "=" + object;
         request.body = body;
         return exchange(m_server.address().toString(), request);
     }
@@ -190,6 +192,7 @@
     CPPUNIT_TEST(longBodyReachesTheUpstreamWhileItArrives);
     CPPUNIT_TEST(brokenOffUploadNeverRuns);
     CPPUNIT_TEST(earlyAnswerToAnUploadEndsItsConnection);
+    CPPUNIT_TEST(slowServiceKeepsObjectsWhereTheyAre);
     CPPUNIT_TEST(malformedRequestsAreLoggedWithinBounds);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
     CPPUNIT_TEST_SUITE_END();
@@ -457,6 +460,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.upstreams[0]->connections());
     }
 
+    // Guards against requests that leave an upstream that has their object warm, because upstreams
+    // that were not asked yet are taken for faster.
+    void slowServiceKeepsObjectsWhereTheyAre()
+    {
+        const auto slow = [](const std::string &request) {
+            scripted_answer result = answerOk(request);
+            result.delay = 700ms; // more than the target and a cold start are assumed to take
+            return result;
+        };
+        carrying system({slow, slow, slow});
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x", "id", {}, "object").status);
+        const auto isUsed = [](const auto &upstream) { return !upstream->requests().empty(); };
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, std::ranges::count_if(system.upstreams, isUsed));
+    }
+
     // Guards against a storm of malformed requests that fills the log.
     void malformedRequestsAreLoggedWithinBounds()
     {
--- a/tests/steering/shared_budgets_test.cc
+++ b/tests/steering/shared_budgets_test.cc
@@ -169,6 +169,12 @@
         // A tenth of the slots for a third of the callers: 0.3 of them stay.
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, few.shares().at("b") + few.shares().at("c"), 1e-9);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7 * 0.2 / 0.7, few.shares().at("b"), 1e-9);
+        // Guards against a start from the first instances that reported.
+        region_share early("b", {});
+        early.update({{"a", {10, 0, 0}}, {"b", {40, 1, 0}}, {"c", {50, 0, 0}}}, start);
+        CPPUNIT_ASSERT(!early.shares().empty());
+        early.update(regions, start + 1s);
+        CPPUNIT_ASSERT(early.shares().empty());
         region_share many("c", {});
         many.update(regions, start);
         CPPUNIT_ASSERT(many.shares().empty());
