Let pages of the list of upstreams hold as soon as they are read

A mark on the first page, just missed, waited for the rest of that reading, the whole next one (0.9 s each) and an entry instance's poll (0.5 s). Ruled out: the period (readings already followed each other at once) and entry instances (they applied each list in one poll).

Change: a page is merged into the list and handed out as it arrives. The absence of an upstream, the first list, and a list older than 2.5 s still need all pages.

--- a/src/control/listing_history.cc
+++ b/src/control/listing_history.cc
@@ -47,6 +47,17 @@
     return true;
 }
 
+bool listing_history::merge(const listing_change &change)
+{
+    return add(applyChange(m_held.back().listing, change));
+}
+
+bool listing_history::keepOnly(const upstream_listing &listing)
+{
+    const listing_change change = changeBetween(m_held.back().listing, listing);
+    return merge({listing.readAt, {}, change.removed});
+}
+
 void listing_history::answer(const wire::node_report &report, steady_time now,
                              wire::node_view &view) const
 {
--- a/src/control/listing_history.h
+++ b/src/control/listing_history.h
@@ -20,7 +20,13 @@
 
     // Takes a list that was just read. Returns whether it differs from the one held.
     bool add(upstream_listing listing);
+    // The same for a part of the list, or what is gone from it. There must be a list already.
+    bool merge(const listing_change &change);
+    // Removes upstreams that are not in `listing`, a list that was just read whole.
+    bool keepOnly(const upstream_listing &listing);
     bool isEmpty() const { return m_held.empty(); }
+    // Of the list held. There must be one.
+    steady_time readAt() const { return m_held.back().listing.readAt; }
     std::size_t upstreams() const
     {
         return m_held.empty() ? 0 : m_held.back().listing.upstreams.size();
--- a/src/control/upstream_lister.cc
+++ b/src/control/upstream_lister.cc
@@ -2,6 +2,8 @@
 
 #include "control/control_state.h"
 
+#include <algorithm>
+
 namespace buckthorngrade {
 
 upstream_lister::upstream_lister(listing_source &source, const replicator &log,
@@ -26,12 +28,10 @@
     if (!(view.isLeader && view.isConnected) && !isLeaderless)
         return;
     try {
-        upstream_listing listing = m_source.read();
+        readList();
         m_reads.add();
         const std::lock_guard lock(m_mutex);
-        if (m_history.add(std::move(listing)) || m_isFailing)
-            m_events.write(event_id::listing_changed,
-                           {{"upstreams", m_history.upstreams()}, {"digest", m_history.digest()}});
+        logIf(m_isFailing);
         m_isFailing = false;
     } catch (const control_error &failure) {
         m_failures.add();
@@ -41,6 +41,38 @@
     }
 }
 
+void upstream_lister::readList()
+{
+    upstream_listing whole;
+    // Pages would make an old list look new.
+    const bool isRecent = [&] {
+        const std::lock_guard lock(m_mutex);
+        return !m_history.isEmpty() && m_clock.now() - m_history.readAt() < longestMergeAge;
+    }();
+    m_source.read([&](const upstream_listing &page) {
+        whole.readAt = page.readAt;
+        whole.upstreams.insert(whole.upstreams.end(), page.upstreams.begin(), page.upstreams.end());
+        const std::lock_guard lock(m_mutex);
+        if (isRecent)
+            logIf(m_history.merge({page.readAt, page.upstreams, {}}));
+    });
+    const std::lock_guard lock(m_mutex);
+    if (isRecent) {
+        logIf(m_history.keepOnly(whole));
+    } else {
+        std::ranges::sort(whole.upstreams, {}, &listed_upstream::id);
+        logIf(m_history.add(std::move(whole)));
+    }
+}
+
+// With m_mutex held.
+void upstream_lister::logIf(bool hasChanged)
+{
+    if (hasChanged)
+        m_events.write(event_id::listing_changed,
+                       {{"upstreams", m_history.upstreams()}, {"digest", m_history.digest()}});
+}
+
 void upstream_lister::answer(const wire::node_report &report, steady_time now,
                              wire::node_view &view) const
 {
--- a/src/control/upstream_lister.h
+++ b/src/control/upstream_lister.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -19,12 +20,15 @@
 {
 public:
     virtual ~listing_source() = default;
-    // Throws control_error if the list can't be read whole.
-    virtual upstream_listing read() = 0;
+    // Hands on each page as it arrives, with the time before it was asked for. Throws control_error
+    // if the list can't be read whole.
+    virtual void read(const std::function<void(const upstream_listing &page)> &onPage) = 0;
 };
 
 // Keeps a recent list of upstreams. Calls to the list are limited and priced, so only the leader
-// reads it, or an instance that hears no leader.
+// reads it, or an instance that hears no leader. A page takes a round trip, so a long list takes a
+// second or more: what a page says holds as soon as it is read. Only the first list of all, and the
+// absence of an upstream, need all pages.
 class upstream_lister
 {
 public:
@@ -38,8 +42,13 @@
     void answer(const wire::node_report &report, steady_time now, wire::node_view &view) const;
 
 private:
+    void readList();
+    void logIf(bool hasChanged);
+
     // An instance without a leader begins to read after so long.
     static constexpr std::chrono::milliseconds leaderlessDelay{600};
+    // Of the list held, for pages to be merged into it: a few readings of the usual length.
+    static constexpr std::chrono::milliseconds longestMergeAge{2'500};
 
     listing_source &m_source;
     const replicator &m_log;
--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -84,10 +84,8 @@
     , m_clock(clock)
 { }
 
-upstream_listing instance_list::read()
+void instance_list::read(const std::function<void(const upstream_listing &page)> &onPage)
 {
-    upstream_listing result;
-    result.readAt = m_clock.now();
     std::string token;
     try {
         Poco::Net::HTTPClientSession session(m_address.host, m_address.port);
@@ -100,6 +98,8 @@
                 Poco::URI::encode(token, "&=+?#", encoded);
                 target += "?page_token=" + encoded;
             }
+            upstream_listing result;
+            result.readAt = m_clock.now();
             Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, target,
                                            Poco::Net::HTTPRequest::HTTP_1_1);
             session.sendRequest(request);
@@ -111,7 +111,8 @@
                 throw control_error(fmt::format("the list of instances answered {}",
                                                 static_cast<int>(response.getStatus())));
             instance_page page = parseInstancePage(std::move(text));
-            std::ranges::move(page.upstreams, std::back_inserter(result.upstreams));
+            result.upstreams = std::move(page.upstreams);
+            onPage(result);
             token = page.next;
             if (token.empty())
                 break;
@@ -120,8 +121,6 @@
         throw control_error(
             fmt::format("the list of instances can't be read: {}", failure.displayText()));
     }
-    std::ranges::sort(result.upstreams, {}, &listed_upstream::id);
-    return result;
 }
 
 } // namespace buckthorngrade
--- a/src/platform/instance_list.h
+++ b/src/platform/instance_list.h
@@ -14,7 +14,7 @@
 public:
     // `address` is "IP:port"; `clock` must outlive this.
     instance_list(const std::string &address, const clock_source &clock);
-    upstream_listing read() override;
+    void read(const std::function<void(const upstream_listing &page)> &onPage) override;
 
 private:
     socket_address m_address;
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -34,9 +34,10 @@
 class fixed_list final : public listing_source
 {
 public:
-    upstream_listing read() override
+    void read(const std::function<void(const upstream_listing &page)> &onPage) override
     {
-        return {std::chrono::steady_clock::now(), {{"u", "s", "1.2.3.4:5", "d", 1, false, 0ms, 0}}};
+        onPage(
+            {std::chrono::steady_clock::now(), {{"u", "s", "1.2.3.4:5", "d", 1, false, 0ms, 0}}});
     }
 };
 
--- /dev/null
+++ b/tests/control/upstream_lister_test.cc
@@ -0,0 +1,154 @@
+#include "control/control_state.h"
+#include "control/upstream_lister.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <vector>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+class manual_clock final : public clock_source
+{
+public:
+    steady_time now() const override { return time; }
+    std::chrono::system_clock::time_point wallNow() const override { return {}; }
+
+    steady_time time{1000s};
+};
+
+// Leads alone.
+class lone_leader final : public replicator
+{
+public:
+    std::future<submit_result> submit(std::string, std::chrono::milliseconds) override
+    {
+        return {};
+    }
+    std::future<bool> confirmRead(std::chrono::milliseconds) override { return {}; }
+    role_view view() const override
+    {
+        role_view result;
+        result.leader = 1;
+        result.isLeader = true;
+        result.isConnected = true;
+        return result;
+    }
+};
+
+// Pages of one upstream each; `betweenPages` is called before each further page.
+class paged_list final : public listing_source
+{
+public:
+    explicit paged_list(manual_clock &clock)
+        : m_clock(clock)
+    { }
+    void read(const std::function<void(const upstream_listing &page)> &onPage) override
+    {
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+            if (i > 0)
+                betweenPages(i);
+            if (fails && i > 0)
+                throw control_error("no answer");
+            onPage({m_clock.time, {upstreams[i]}});
+            m_clock.time += 100ms;
+        }
+    }
+
+    std::vector<listed_upstream> upstreams;
+    std::function<void(std::size_t)> betweenPages = [](std::size_t) {};
+    bool fails = false;
+
+private:
+    manual_clock &m_clock;
+};
+
+listed_upstream upstreamOf(const std::string &id)
+{
+    return {id, "s", "1.2.3.4:5", "d", 3, false, 0ms, 0};
+}
+
+} // namespace
+
+class upstream_lister_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(upstream_lister_test);
+    CPPUNIT_TEST(pagesHoldAsSoonAsTheyAreRead);
+    CPPUNIT_TEST(absenceNeedsAllPages);
+    CPPUNIT_TEST(oldListIsReplacedWhole);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_clock.time = steady_time(1000s);
+        m_list.upstreams = {upstreamOf("a"), upstreamOf("b"), upstreamOf("c")};
+        m_list.betweenPages = [](std::size_t) {};
+        m_list.fails = false;
+    }
+
+    // Guards against an upstream that leaves and goes on getting requests for as long as the rest
+    // of a long list takes to read.
+    void pagesHoldAsSoonAsTheyAreRead()
+    {
+        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        // The first list is of no use before it is whole.
+        m_list.betweenPages
+            = [&](std::size_t) { CPPUNIT_ASSERT_EQUAL(0, held(lister).upstreams_size()); };
+        lister.run();
+        CPPUNIT_ASSERT_EQUAL(3, held(lister).upstreams_size());
+        m_list.upstreams[0].isDraining = true;
+        bool isDraining = false;
+        m_list.betweenPages
+            = [&](std::size_t) { isDraining = held(lister).upstreams(0).draining(); };
+        lister.run();
+        CPPUNIT_ASSERT(isDraining);
+    }
+
+    void absenceNeedsAllPages()
+    {
+        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        lister.run();
+        m_list.fails = true;
+        lister.run();
+        CPPUNIT_ASSERT_EQUAL(3, held(lister).upstreams_size());
+        m_list.fails = false;
+        m_list.upstreams.pop_back();
+        lister.run();
+        CPPUNIT_ASSERT_EQUAL(2, held(lister).upstreams_size());
+    }
+
+    // Guards against a new leader that makes the list of its last leadership look new by its first
+    // page.
+    void oldListIsReplacedWhole()
+    {
+        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        lister.run();
+        const std::uint64_t old = held(lister).listing_digest();
+        m_clock.time += 60s;
+        m_list.upstreams[0].isDraining = true;
+        m_list.betweenPages
+            = [&](std::size_t) { CPPUNIT_ASSERT_EQUAL(old, held(lister).listing_digest()); };
+        lister.run();
+        CPPUNIT_ASSERT(held(lister).listing_digest() != old);
+    }
+
+private:
+    wire::node_view held(const upstream_lister &lister) const
+    {
+        wire::node_view view;
+        lister.answer({}, m_clock.time, view);
+        return view;
+    }
+
+    manual_clock m_clock;
+    lone_leader m_log;
+    paged_list m_list{m_clock};
+    null_event_log m_events;
+    metric_registry m_metrics;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_lister_test);
