--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -479,7 +479,10 @@
 {
     if (m_upstream) {
         --m_upstream->inFlight;
-        if (m_client && m_client->isReusable())
+        // The connections of an upstream that is gone end with it, and this one may be on the
+        // stack.
+        const bool isListed = m_owner.m_upstreams.find(m_upstream->listed.id) == m_upstream;
+        if (m_client && m_client->isReusable() && isListed)
             m_owner.m_upstreams.keepIdle(m_upstream, std::move(m_client));
         m_upstream.reset();
     }
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -193,6 +193,7 @@
     CPPUNIT_TEST(brokenOffUploadNeverRuns);
     CPPUNIT_TEST(earlyAnswerToAnUploadEndsItsConnection);
     CPPUNIT_TEST(slowServiceKeepsObjectsWhereTheyAre);
+    CPPUNIT_TEST(upstreamThatIsGoneMayStillAnswer);
     CPPUNIT_TEST(malformedRequestsAreLoggedWithinBounds);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
     CPPUNIT_TEST_SUITE_END();
@@ -476,6 +477,29 @@
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, std::ranges::count_if(system.upstreams, isUsed));
     }
 
+    // Guards against a connection that is freed with its upstream while its response is handled.
+    // Found by the address sanitizer, and by a day on which an entry instance crashed.
+    void upstreamThatIsGoneMayStillAnswer()
+    {
+        for (int round = 0; round < 3; ++round) {
+            carrying system({[](const std::string &request) {
+                scripted_answer result = answerOk(request);
+                result.delay = 300ms;
+                return result;
+            }});
+            http_connection caller{
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address()))};
+            caller.send(fmt::format("GET /safe/x HTTP/1.1\r\nHost: test\r\n{}: id\r\n\r\n",
+                                    protocol.requestId));
+            waitUntil("the upstream has the request",
+                      [&] { return system.upstreams[0]->requests().size() == 1; });
+            system.apply([](upstream_listing &listing) { listing.upstreams.clear(); });
+            Poco::Net::HTTPResponse head;
+            CPPUNIT_ASSERT(caller.readHead(head));
+            CPPUNIT_ASSERT_EQUAL(200, static_cast<int>(head.getStatus()));
+        }
+    }
+
     // Guards against a storm of malformed requests that fills the log.
     void malformedRequestsAreLoggedWithinBounds()
     {
