--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -75,6 +75,7 @@
 {
     // The callbacks of a request under way hold it, so it would never be freed.
     std::vector<std::shared_ptr<carried_request>> requests;
+    requests.reserve(m_underWay.size());
     for (carried_request *request : m_underWay)
         requests.push_back(request->shared_from_this());
     std::ranges::for_each(requests, &carried_request::abandon);
