Keep channels to control instances that refuse connections

Change: only silence (a call that ends at its deadline, twice) replaces a channel; after a refusal gRPC connects again by itself. A channel that was given up is kept for 5 s more. refusedConnectionsAreNotReplaced passed with it; the counter it reads did not exist before.

--- a/src/carrier/control_client.cc
+++ b/src/carrier/control_client.cc
@@ -6,7 +6,7 @@
 #include <grpcpp/support/channel_arguments.h>
 
 #include <thread>
-#include <vector>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -31,7 +31,7 @@
     std::unique_ptr<wire::node_link::Stub> stub;
     bool isBusy = false;
     bool answers = false;
-    std::uint32_t failures = 0; // in a row
+    std::uint32_t silences = 0; // calls without an answer since the last one
 };
 
 struct control_client::call_state
@@ -57,7 +57,7 @@
         std::this_thread::yield();
 }
 
-void control_client::reconnect(peer &to)
+void control_client::connect(peer &to)
 {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
@@ -69,7 +69,14 @@
     to.channel = grpc::CreateCustomChannel(fmt::format("{}:{}", to.host, m_port),
                                            grpc::InsecureChannelCredentials(), arguments);
     to.stub = wire::node_link::NewStub(to.channel);
-    to.failures = 0;
+    to.silences = 0;
+}
+
+void control_client::reconnect(peer &to)
+{
+    m_retired.push_back({m_loop.now(), std::move(to.channel)});
+    connect(to);
+    ++m_reconnects;
 }
 
 void control_client::setHosts(const std::set<std::string> &hosts)
@@ -84,12 +91,15 @@
         known = std::make_unique<peer>();
         known->host = host;
         known->generation = m_nextGeneration++;
-        reconnect(*known);
+        connect(*known);
     }
 }
 
 void control_client::poll(const wire::node_report &report, const std::string &detailsFrom)
 {
+    std::erase_if(m_retired, [this](const retired_channel &channel) {
+        return m_loop.now() - channel.since > retireTime;
+    });
     for (const auto &[host, to] : m_peers)
         if (!to->isBusy)
             start(*to, report, host == detailsFrom);
@@ -123,17 +133,16 @@
                            [this, call, host = to.host, generation = to.generation,
                             isAlive = m_isAlive,
                             underWay = m_underWay](const grpc::Status &status) {
-                               m_loop.post([this, call, host, generation, isAlive,
-                                            works = status.ok(), reason = status.error_message()] {
+                               m_loop.post([this, call, host, generation, isAlive, status] {
                                    if (*isAlive)
-                                       finished(host, generation, works, reason, call->view);
+                                       finished(host, generation, status, call->view);
                                });
                                --*underWay;
                            });
 }
 
-void control_client::finished(const std::string &host, std::uint64_t generation, bool works,
-                              const std::string &reason,
+void control_client::finished(const std::string &host, std::uint64_t generation,
+                              const grpc::Status &status,
                               const std::shared_ptr<wire::node_view> &view)
 {
     const auto found = m_peers.find(host);
@@ -141,14 +150,16 @@
         return;
     peer &from = *found->second;
     from.isBusy = false;
+    const bool works = status.ok();
     if (works != from.answers)
         m_events.write(works ? event_id::control_regained : event_id::control_lost,
-                       {{"control", host}, {"reason", reason}});
+                       {{"control", host}, {"reason", status.error_message()}});
     from.answers = works;
     if (works) {
-        from.failures = 0;
+        from.silences = 0;
         m_onView(host, *view);
-    } else if (++from.failures >= failuresUntilReconnect) {
+    } else if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED
+               && ++from.silences >= silencesUntilReconnect) {
         reconnect(from);
     }
 }
--- a/src/carrier/control_client.h
+++ b/src/carrier/control_client.h
@@ -8,23 +8,29 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace buckthorngrade {
 
 // Asks all control instances for their views, each on its own connection, and hands the views to
-// the event loop. An instance that does not answer is asked again on a new connection, because the
+// the event loop. An instance that stays silent is asked again on a new connection, because the
 // old one may have gone silent for good.
 class control_client
 {
 public:
     static constexpr std::chrono::milliseconds callTimeout{900};
-    // Calls in a row that fail before the connection is given up.
-    static constexpr std::uint32_t failuresUntilReconnect = 2;
+    // Calls in a row without any answer before the connection is given up. A refusal is an answer:
+    // gRPC connects again by itself.
+    static constexpr std::uint32_t silencesUntilReconnect = 2;
+    // gRPC 1.51 aborted processes that dropped channels whose connection was being made, so a
+    // channel that was given up is kept for longer than an attempt to connect takes.
+    static constexpr std::chrono::seconds retireTime{5};
 
     using view_handler = std::function<void(const std::string &host, const wire::node_view &)>;
 
@@ -45,14 +51,22 @@
     // Hosts that answered their last call.
     std::set<std::string> answering() const;
     std::size_t hostCount() const { return m_peers.size(); }
+    // Connections that were given up since the start.
+    std::size_t reconnects() const { return m_reconnects; }
 
 private:
     struct peer;
     struct call_state;
+    struct retired_channel
+    {
+        steady_time since;
+        std::shared_ptr<grpc::Channel> channel;
+    };
 
     void start(peer &to, const wire::node_report &report, bool wantsDetails);
-    void finished(const std::string &host, std::uint64_t generation, bool works,
-                  const std::string &reason, const std::shared_ptr<wire::node_view> &view);
+    void finished(const std::string &host, std::uint64_t generation, const grpc::Status &status,
+                  const std::shared_ptr<wire::node_view> &view);
+    void connect(peer &to);
     void reconnect(peer &to);
 
     event_loop &m_loop;
@@ -60,6 +74,8 @@
     event_log &m_events;
     view_handler m_onView;
     std::map<std::string, std::unique_ptr<peer>> m_peers; // by host
+    std::vector<retired_channel> m_retired;
+    std::size_t m_reconnects = 0;
     std::uint64_t m_nextGeneration = 1;
     std::shared_ptr<std::atomic<int>> m_underWay = std::make_shared<std::atomic<int>>(0);
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); // used on the loop's thread
