Give all control instances of nine failure domains a vote

Cause: the group took seven members at most. Nobody reports to them, so that their directory names no entry instance; they hear no leader, so that each of them read the platform's list by itself; and a quorum was four of seven, while the platform's rules count a majority of nine machines.

Change: nine members; only a voter reads the list without a leader.

Ruled out: learners beyond the group, which would answer lookups but leave the quorum apart from what the platform counts. They are needed above nine failure domains; that stays open (docs/CAPACITY.md).

Tests, failing before: allOfNineFailureDomainsVote ("gave up waiting until all have a vote"), instanceOutsideTheGroupReadsNoList (3 upstreams, expected 0). voterWithoutLeaderReadsTheList keeps what must go on working.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -31,8 +31,9 @@
 class control_node
 {
 public:
-    // With 5 founding or joined members, any two may be lost; further ones only add traffic.
-    static constexpr std::size_t maxMembers = 7;
+    // One for each failure domain of the largest deployments: a quorum is then a majority of the
+    // machines that the deployment counts, and no instance stays outside the group.
+    static constexpr std::size_t maxMembers = 9;
 
     // All references must outlive this. `onFailure` is called on a thread of this when the replica
     // has stopped because of its disk. Throws agreement_error for a damaged data folder and
--- a/src/control/upstream_lister.cc
+++ b/src/control/upstream_lister.cc
@@ -24,7 +24,7 @@
     const steady_time now = m_clock.now();
     if (view.leader != 0 && view.isConnected)
         m_leaderSeen = now;
-    const bool isLeaderless = now - m_leaderSeen > leaderlessDelay;
+    const bool isLeaderless = view.isVoter && now - m_leaderSeen > leaderlessDelay;
     if (!(view.isLeader && view.isConnected) && !isLeaderless)
         return;
     try {
--- a/src/control/upstream_lister.h
+++ b/src/control/upstream_lister.h
@@ -26,7 +26,7 @@
 };
 
 // Keeps a recent list of upstreams. Calls to the list are limited and priced, so only the leader
-// reads it, or an instance that hears no leader. A page takes a round trip, so a long list takes a
+// reads it, or a voter that hears no leader. A page takes a round trip, so a long list takes a
 // second or more: what a page says holds as soon as it is read. Only the first list of all, and the
 // absence of an upstream, need all pages.
 class upstream_lister
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -127,6 +127,7 @@
 {
     CPPUNIT_TEST_SUITE(control_node_test);
     CPPUNIT_TEST(formsOneGroupFromSeeds);
+    CPPUNIT_TEST(allOfNineFailureDomainsVote);
     CPPUNIT_TEST(emptiedInstanceRejoinsAndNothingIsLost);
     CPPUNIT_TEST(joinsThroughSeedsThatDoNotLead);
     CPPUNIT_TEST(ordersHaveTruthfulOutcomes);
@@ -150,6 +151,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("9"), all.read());
     }
 
+    // Guards against control instances that stay outside the group: they refuse orders, know no
+    // entry instances, and a majority of the machines isn't one of the voters.
+    void allOfNineFailureDomainsVote()
+    {
+        group all({1, 2, 3});
+        const std::vector<int> numbers{1, 2, 3, 4, 5, 6, 7, 8, 9};
+        for (const int number : numbers)
+            all.start(number, true);
+        waitUntil("all have a vote", [&] { return all.areVoters(numbers); });
+        all.put("7");
+        for (const int lost : {1, 4, 5, 9})
+            all.stop(lost);
+        all.put("8");
+        CPPUNIT_ASSERT_EQUAL(std::string("8"), all.read());
+    }
+
     void emptiedInstanceRejoinsAndNothingIsLost()
     {
         group all({1, 2, 3});
--- a/tests/control/upstream_lister_test.cc
+++ b/tests/control/upstream_lister_test.cc
@@ -20,8 +20,7 @@
     steady_time time{1000s};
 };
 
-// Leads alone.
-class lone_leader final : public replicator
+class fixed_role final : public replicator
 {
 public:
     std::future<submit_result> submit(std::string, std::chrono::milliseconds) override
@@ -29,14 +28,9 @@
         return {};
     }
     std::future<bool> confirmRead(std::chrono::milliseconds) override { return {}; }
-    role_view view() const override
-    {
-        role_view result;
-        result.leader = 1;
-        result.isLeader = true;
-        result.isConnected = true;
-        return result;
-    }
+    role_view view() const override { return role; }
+
+    role_view role;
 };
 
 // Pages of one upstream each; `betweenPages` is called before each further page.
@@ -79,12 +73,19 @@
     CPPUNIT_TEST(pagesHoldAsSoonAsTheyAreRead);
     CPPUNIT_TEST(absenceNeedsAllPages);
     CPPUNIT_TEST(oldListIsReplacedWhole);
+    CPPUNIT_TEST(voterWithoutLeaderReadsTheList);
+    CPPUNIT_TEST(instanceOutsideTheGroupReadsNoList);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
         m_clock.time = steady_time(1000s);
+        m_log.role = {};
+        m_log.role.leader = 1;
+        m_log.role.isLeader = true;
+        m_log.role.isVoter = true;
+        m_log.role.isConnected = true;
         m_list.upstreams = {upstreamOf("a"), upstreamOf("b"), upstreamOf("c")};
         m_list.betweenPages = [](std::size_t) {};
         m_list.fails = false;
@@ -136,6 +137,29 @@
         CPPUNIT_ASSERT(held(lister).listing_digest() != old);
     }
 
+    // Guards against entry instances that hear nothing of leaving upstreams while no leader is
+    // known.
+    void voterWithoutLeaderReadsTheList()
+    {
+        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        m_log.role = {};
+        m_log.role.isVoter = true;
+        m_clock.time += 10s;
+        lister.run();
+        CPPUNIT_ASSERT_EQUAL(3, held(lister).upstreams_size());
+    }
+
+    // Guards against an instance that the group has no room for, hears no leader for good, and
+    // sends a list of its own in turn with the leader's.
+    void instanceOutsideTheGroupReadsNoList()
+    {
+        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        m_log.role = {};
+        m_clock.time += 10s;
+        lister.run();
+        CPPUNIT_ASSERT_EQUAL(0, held(lister).upstreams_size());
+    }
+
 private:
     wire::node_view held(const upstream_lister &lister) const
     {
@@ -145,7 +169,7 @@
     }
 
     manual_clock m_clock;
-    lone_leader m_log;
+    fixed_role m_log;
     paged_list m_list{m_clock};
     null_event_log m_events;
     metric_registry m_metrics;
