Read the failure domains of a long list beside each other

Cause: the list has 50 upstreams on a page, and a page names the next one, so that 17 to 20 pages are read one after another, at a round trip of 110 ms and the processor's time each: 0.17 to 0.19 s a page, more than 3 s in all.

Change: a list of more than four pages is read by failure domain, each part on a connection of its own: two pages deep in place of 17. Short lists are read in turn as before, since each call is paid for; the first reading, of unknown length, is made by failure domain.

The HTTP client of src/net replaces POCO's session, which reads one call at a time.

--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -6,6 +6,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <string>
+#include <vector>
 
 namespace buckthorngrade {
 
@@ -52,6 +56,13 @@
     return result;
 }
 
+std::vector<std::string> failureDomains(const node_settings &settings)
+{
+    std::vector<std::string> result;
+    std::ranges::copy(settings.regionOfDomain | std::views::keys, std::back_inserter(result));
+    return result;
+}
+
 } // namespace
 
 control_node::control_node(const node_settings &settings, const routing_codec &codec,
@@ -68,7 +79,7 @@
               m_replica->receive(std::move(bytes));
           },
           events)
-    , m_lister(upstreamSource, *m_replica, clock, events, metrics)
+    , m_lister(upstreamSource, failureDomains(settings), *m_replica, clock, events, metrics)
     , m_sync(*m_replica, m_state, m_lister, m_roster, clock)
     , m_routing(*m_replica, m_state, codec, events)
     , m_server(startGrpcServer(replicaAddress(settings, ipv4FromString(settings.host)),
--- a/src/control/upstream_lister.cc
+++ b/src/control/upstream_lister.cc
@@ -3,13 +3,15 @@
 #include "control/control_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthorngrade {
 
-upstream_lister::upstream_lister(listing_source &source, const replicator &log,
-                                 const clock_source &clock, event_log &events,
-                                 metric_registry &metrics)
+upstream_lister::upstream_lister(listing_source &source, std::vector<std::string> domains,
+                                 const replicator &log, const clock_source &clock,
+                                 event_log &events, metric_registry &metrics)
     : m_source(source)
+    , m_domains(std::move(domains))
     , m_log(log)
     , m_clock(clock)
     , m_events(events)
@@ -49,13 +51,19 @@
         const std::lock_guard lock(m_mutex);
         return !m_history.isEmpty() && m_clock.now() - m_history.readAt() < longestMergeAge;
     }();
-    m_source.read([&](const upstream_listing &page) {
+    std::size_t pages = 0;
+    std::size_t largestPage = 0;
+    const auto takePage = [&](const upstream_listing &page) {
+        ++pages;
+        largestPage = std::max(largestPage, page.upstreams.size());
         whole.readAt = page.readAt;
         whole.upstreams.insert(whole.upstreams.end(), page.upstreams.begin(), page.upstreams.end());
         const std::lock_guard lock(m_mutex);
         if (isRecent)
             logIf(m_history.merge({page.readAt, page.upstreams, {}}));
-    });
+    };
+    m_source.read(m_readsByDomain ? m_domains : std::vector<std::string>(), takePage);
+    chooseReading(pages, largestPage, whole.upstreams.size());
     const std::lock_guard lock(m_mutex);
     if (isRecent) {
         logIf(m_history.keepOnly(whole));
@@ -65,6 +73,15 @@
     }
 }
 
+void upstream_lister::chooseReading(std::size_t pages, std::size_t largestPage,
+                                    std::size_t upstreams)
+{
+    // Where each failure domain has one page only, no page needs to be full.
+    if (!m_readsByDomain || pages > m_domains.size())
+        m_pageSize = largestPage;
+    m_readsByDomain = m_pageSize > 0 && upstreams > mostPagesInTurn * m_pageSize;
+}
+
 // With m_mutex held.
 void upstream_lister::logIf(bool hasChanged)
 {
--- a/src/control/upstream_lister.h
+++ b/src/control/upstream_lister.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <vector>
 
 namespace buckthorngrade {
 
@@ -19,22 +21,25 @@
 class listing_source
 {
 public:
+    using page_handler = std::function<void(const upstream_listing &page)>;
+
     virtual ~listing_source() = default;
-    // Hands on each page as it arrives, with the time before it was asked for. Throws control_error
-    // if the list can't be read whole.
-    virtual void read(const std::function<void(const upstream_listing &page)> &onPage) = 0;
+    // Reads the whole list, page after page, or, if there are `domains`, the parts of these failure
+    // domains beside each other. Hands on each page as it arrives, with the time before it was
+    // asked for. Throws control_error if the list can't be read whole.
+    virtual void read(const std::vector<std::string> &domains, const page_handler &onPage) = 0;
 };
 
 // Keeps a recent list of upstreams. Calls to the list are limited and priced, so only the leader
-// reads it, or a voter that hears no leader. A page takes a round trip, so a long list takes a
-// second or more: what a page says holds as soon as it is read. Only the first list of all, and the
-// absence of an upstream, need all pages.
+// reads it, or a voter that hears no leader. A page takes a round trip, so the failure
+// domains of a long list are read beside each other, and what a page says holds as soon as it is
+// read. Only the first list of all, and the absence of an upstream, need all pages.
 class upstream_lister
 {
 public:
-    // All references must outlive this.
-    upstream_lister(listing_source &source, const replicator &log, const clock_source &clock,
-                    event_log &events, metric_registry &metrics);
+    // `domains` are the deployment's failure domains. All references must outlive this.
+    upstream_lister(listing_source &source, std::vector<std::string> domains, const replicator &log,
+                    const clock_source &clock, event_log &events, metric_registry &metrics);
 
     // Reads the list if that is this instance's task now.
     void run();
@@ -43,6 +48,8 @@
 
 private:
     void readList();
+    // Decides how the next reading is made, after one of so many pages and upstreams.
+    void chooseReading(std::size_t pages, std::size_t largestPage, std::size_t upstreams);
     void logIf(bool hasChanged);
 
     // An instance without a leader begins to read after so long.
@@ -50,7 +57,12 @@
     // Of the list held, for pages to be merged into it: a few readings of the usual length.
     static constexpr std::chrono::milliseconds longestMergeAge{2'500};
 
+    // Pages read one after another, at a round trip of 110 ms between regions each: half a second
+    // of the 3 s that a leaving upstream may go on getting requests.
+    static constexpr std::size_t mostPagesInTurn = 4;
+
     listing_source &m_source;
+    const std::vector<std::string> m_domains;
     const replicator &m_log;
     const clock_source &m_clock;
     event_log &m_events;
@@ -58,6 +70,8 @@
     metric_counter &m_failures;
     steady_time m_leaderSeen;
     bool m_isFailing = false;
+    bool m_readsByDomain = true; // nothing is known of the first list's length
+    std::size_t m_pageSize = 0; // upstreams on a full page; 0: unknown
     mutable std::mutex m_mutex;
     listing_history m_history;
 };
--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -2,15 +2,10 @@
 
 #include "base/utf8.h"
 #include "control/control_state.h"
+#include "net/http_client.h"
 #include "platform/json_values.h"
 #include "platform/wire_names.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 #include <Poco/URI.h>
 
 #include <algorithm>
@@ -23,8 +18,10 @@
 
 using nlohmann::json;
 
-constexpr long requestTimeoutUs = 800'000; // of each step of a call
-constexpr int maxPages = 400;
+constexpr std::chrono::milliseconds callTimeout{1'600}; // with the connection, where it is new
+constexpr int maxPages = 400; // of one part
+constexpr std::uint64_t maxPageBytes = 4U << 20;
+constexpr int ok = 200;
 // Stands for bytes that are not ASCII; entries that contain it are left out.
 constexpr char unreadable = '\x7f';
 
@@ -61,6 +58,100 @@
     }
 }
 
+std::string encoded(const std::string &text)
+{
+    std::string result;
+    Poco::URI::encode(text, "&=+?#", result);
+    return result;
+}
+
+// Reads the pages of one part of the list, one after another.
+class part_reader
+{
+public:
+    // `domain`: empty for the whole list. `onEnd` is called once, with the reason of a failure or
+    // an empty text. All references must outlive this.
+    part_reader(event_loop &loop, const socket_address &address, const clock_source &clock,
+                std::string domain, const listing_source::page_handler &onPage,
+                std::function<void(const std::string &)> onEnd)
+        : m_loop(loop)
+        , m_address(address)
+        , m_clock(clock)
+        , m_domain(std::move(domain))
+        , m_onPage(onPage)
+        , m_onEnd(std::move(onEnd))
+    {
+        askForPage();
+    }
+
+private:
+    void askForPage()
+    {
+        if (!m_client || !m_client->isReusable())
+            m_client = std::make_unique<http_client>(m_loop, m_address, maxPageBytes);
+        m_askedAt = m_clock.now();
+        m_timer = m_loop.runAfter(callTimeout, [this] { end("no answer in time"); });
+        http_client::call call;
+        call.request
+            = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target(), m_address.toString());
+        call.onResponse = [this](const client_response &response) { takePage(response); };
+        call.onFailure = [this](call_failure) { end("the connection failed"); };
+        m_client->start(std::move(call));
+    }
+
+    std::string target() const
+    {
+        std::string result = platform_wire::instancesPath;
+        char separator = '?';
+        for (const auto &[name, value] :
+             {std::pair("zone", m_domain), std::pair("page_token", m_token)}) {
+            if (value.empty())
+                continue;
+            result += fmt::format("{}{}={}", separator, name, encoded(value));
+            separator = '&';
+        }
+        return result;
+    }
+
+    void takePage(const client_response &response)
+    {
+        m_loop.cancel(m_timer);
+        if (response.head.status != ok)
+            return end(fmt::format("status {}", response.head.status));
+        try {
+            instance_page page = parseInstancePage(response.body);
+            m_onPage({m_askedAt, std::move(page.upstreams)});
+            m_token = page.next;
+        } catch (const control_error &failure) {
+            return end(failure.what());
+        }
+        if (m_token.empty())
+            return end("");
+        if (++m_pages == maxPages)
+            return end("it has too many pages");
+        // The connection may be replaced, but not from its own callback.
+        m_loop.post([this] { askForPage(); });
+    }
+
+    void end(const std::string &failure)
+    {
+        m_loop.cancel(m_timer);
+        m_onEnd(failure);
+    }
+
+    event_loop &m_loop;
+    const socket_address &m_address;
+    const clock_source &m_clock;
+    const std::string m_domain;
+    const listing_source::page_handler &m_onPage;
+    const std::function<void(const std::string &)> m_onEnd;
+    std::unique_ptr<http_client> m_client;
+    event_loop::timer_id m_timer = 0;
+    steady_time m_askedAt{};
+    std::string m_token; // of the next page
+    int m_pages = 0;
+};
+
 } // namespace
 
 instance_page parseInstancePage(std::string text)
@@ -84,43 +175,33 @@
     , m_clock(clock)
 { }
 
-void instance_list::read(const std::function<void(const upstream_listing &page)> &onPage)
+void instance_list::read(const std::vector<std::string> &domains, const page_handler &onPage)
 {
-    std::string token;
+    event_loop loop;
+    std::size_t left = std::max<std::size_t>(domains.size(), 1);
+    std::string failure;
+    const auto onEnd = [&](const std::string &why) {
+        if (!why.empty())
+            failure = why;
+        if (--left == 0 || !why.empty())
+            loop.stop();
+    };
     try {
-        Poco::Net::HTTPClientSession session(m_address.host, m_address.port);
-        session.setTimeout(Poco::Timespan(requestTimeoutUs));
-        session.setKeepAlive(true);
-        for (int i = 0; i < maxPages; ++i) {
-            std::string target = platform_wire::instancesPath;
-            if (!token.empty()) {
-                std::string encoded;
-                Poco::URI::encode(token, "&=+?#", encoded);
-                target += "?page_token=" + encoded;
-            }
-            upstream_listing result;
-            result.readAt = m_clock.now();
-            Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, target,
-                                           Poco::Net::HTTPRequest::HTTP_1_1);
-            session.sendRequest(request);
-            Poco::Net::HTTPResponse response;
-            std::istream &body = session.receiveResponse(response);
-            std::string text;
-            Poco::StreamCopier::copyToString(body, text);
-            if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-                throw control_error(fmt::format("the list of instances answered {}",
-                                                static_cast<int>(response.getStatus())));
-            instance_page page = parseInstancePage(std::move(text));
-            result.upstreams = std::move(page.upstreams);
-            onPage(result);
-            token = page.next;
-            if (token.empty())
-                break;
-        }
-    } catch (const Poco::Exception &failure) {
-        throw control_error(
-            fmt::format("the list of instances can't be read: {}", failure.displayText()));
+        std::vector<std::unique_ptr<part_reader>> parts;
+        const auto addPart = [&](const std::string &domain) {
+            parts.push_back(
+                std::make_unique<part_reader>(loop, m_address, m_clock, domain, onPage, onEnd));
+        };
+        if (domains.empty())
+            addPart("");
+        else
+            std::ranges::for_each(domains, addPart);
+        loop.run();
+    } catch (const net_error &error) {
+        failure = error.what();
     }
+    if (!failure.empty())
+        throw control_error(fmt::format("the list of instances can't be read: {}", failure));
 }
 
 } // namespace buckthorngrade
--- a/src/platform/instance_list.h
+++ b/src/platform/instance_list.h
@@ -8,13 +8,13 @@
 
 namespace buckthorngrade {
 
-// Reads the platform's paged list of instances.
+// Reads the platform's paged list of instances, each part on a connection of its own.
 class instance_list final : public listing_source
 {
 public:
     // `address` is "IP:port"; `clock` must outlive this.
     instance_list(const std::string &address, const clock_source &clock);
-    void read(const std::function<void(const upstream_listing &page)> &onPage) override;
+    void read(const std::vector<std::string> &domains, const page_handler &onPage) override;
 
 private:
     socket_address m_address;
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -34,7 +34,7 @@
 class fixed_list final : public listing_source
 {
 public:
-    void read(const std::function<void(const upstream_listing &page)> &onPage) override
+    void read(const std::vector<std::string> &, const page_handler &onPage) override
     {
         onPage(
             {std::chrono::steady_clock::now(), {{"u", "s", "1.2.3.4:5", "d", 1, false, 0ms, 0}}});
--- a/tests/control/upstream_lister_test.cc
+++ b/tests/control/upstream_lister_test.cc
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <map>
+#include <string>
 #include <vector>
 
 using namespace buckthorngrade;
@@ -40,8 +42,9 @@
     explicit paged_list(manual_clock &clock)
         : m_clock(clock)
     { }
-    void read(const std::function<void(const upstream_listing &page)> &onPage) override
+    void read(const std::vector<std::string> &domains, const page_handler &onPage) override
     {
+        ++readings[domains.size()];
         for (std::size_t i = 0; i < upstreams.size(); ++i) {
             if (i > 0)
                 betweenPages(i);
@@ -55,6 +58,7 @@
     std::vector<listed_upstream> upstreams;
     std::function<void(std::size_t)> betweenPages = [](std::size_t) {};
     bool fails = false;
+    std::map<std::size_t, int> readings; // by the number of failure domains asked for
 
 private:
     manual_clock &m_clock;
@@ -73,6 +77,8 @@
     CPPUNIT_TEST(pagesHoldAsSoonAsTheyAreRead);
     CPPUNIT_TEST(absenceNeedsAllPages);
     CPPUNIT_TEST(oldListIsReplacedWhole);
+    CPPUNIT_TEST(longListIsReadByFailureDomain);
+    CPPUNIT_TEST(shortListIsReadInTurn);
     CPPUNIT_TEST(voterWithoutLeaderReadsTheList);
     CPPUNIT_TEST(instanceOutsideTheGroupReadsNoList);
     CPPUNIT_TEST_SUITE_END();
@@ -89,13 +95,14 @@
         m_list.upstreams = {upstreamOf("a"), upstreamOf("b"), upstreamOf("c")};
         m_list.betweenPages = [](std::size_t) {};
         m_list.fails = false;
+        m_list.readings.clear();
     }
 
     // Guards against an upstream that leaves and goes on getting requests for as long as the rest
     // of a long list takes to read.
     void pagesHoldAsSoonAsTheyAreRead()
     {
-        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        upstream_lister lister(m_list, {"d", "e"}, m_log, m_clock, m_events, m_metrics);
         // The first list is of no use before it is whole.
         m_list.betweenPages
             = [&](std::size_t) { CPPUNIT_ASSERT_EQUAL(0, held(lister).upstreams_size()); };
@@ -111,7 +118,7 @@
 
     void absenceNeedsAllPages()
     {
-        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        upstream_lister lister(m_list, {"d", "e"}, m_log, m_clock, m_events, m_metrics);
         lister.run();
         m_list.fails = true;
         lister.run();
@@ -126,7 +133,7 @@
     // page.
     void oldListIsReplacedWhole()
     {
-        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        upstream_lister lister(m_list, {"d", "e"}, m_log, m_clock, m_events, m_metrics);
         lister.run();
         const std::uint64_t old = held(lister).listing_digest();
         m_clock.time += 60s;
@@ -137,11 +144,35 @@
         CPPUNIT_ASSERT(held(lister).listing_digest() != old);
     }
 
+    // Guards against a list of 17 pages that takes 3 s to read, so that leaving upstreams get
+    // requests after their last moment.
+    void longListIsReadByFailureDomain()
+    {
+        m_list.upstreams.clear();
+        for (const char *id : {"a", "b", "c", "d", "e"})
+            m_list.upstreams.push_back(upstreamOf(id));
+        upstream_lister lister(m_list, {"d", "e"}, m_log, m_clock, m_events, m_metrics);
+        for (int i = 0; i < 4; ++i)
+            lister.run();
+        CPPUNIT_ASSERT_EQUAL(4, m_list.readings[2]);
+        CPPUNIT_ASSERT_EQUAL(5, held(lister).upstreams_size());
+    }
+
+    // Guards against paying for a call for each failure domain where one call reads all.
+    void shortListIsReadInTurn()
+    {
+        upstream_lister lister(m_list, {"d", "e", "f"}, m_log, m_clock, m_events, m_metrics);
+        for (int i = 0; i < 4; ++i)
+            lister.run();
+        CPPUNIT_ASSERT_EQUAL(1, m_list.readings[3]);
+        CPPUNIT_ASSERT_EQUAL(3, m_list.readings[0]);
+    }
+
     // Guards against entry instances that hear nothing of leaving upstreams while no leader is
     // known.
     void voterWithoutLeaderReadsTheList()
     {
-        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        upstream_lister lister(m_list, {"d", "e"}, m_log, m_clock, m_events, m_metrics);
         m_log.role = {};
         m_log.role.isVoter = true;
         m_clock.time += 10s;
@@ -153,7 +184,7 @@
     // sends a list of its own in turn with the leader's.
     void instanceOutsideTheGroupReadsNoList()
     {
-        upstream_lister lister(m_list, m_log, m_clock, m_events, m_metrics);
+        upstream_lister lister(m_list, {"d", "e"}, m_log, m_clock, m_events, m_metrics);
         m_log.role = {};
         m_clock.time += 10s;
         lister.run();
