Keep the list's differences by version numbers

Cause: each page of the list that differs makes a version of the list, and differences were kept from eight versions back, as eight whole copies. A reading of 17 to 20 pages makes more than eight within one poll of an entry instance, so that all of them were sent the whole list (about 60 KB over links of 2 Mbit/s) with every answer. A control instance copied and compared 1,000 entries for each page and each differing answer.

Change: an entry remembers the number of the version that changed it last. A page costs its own size; an answer costs one pass over the list; differences reach 64 versions back.

Test, failing before: manyChangesBetweenTwoPollsAreADifference (40 changed pages between two polls: 40 entries instead of 1,000; the old code has no difference that far back). The random histories of followersHoldTheListAsRead pass unchanged.

--- a/src/control/listing_history.cc
+++ b/src/control/listing_history.cc
@@ -5,8 +5,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <string>
-#include <utility>
+#include <set>
+#include <string_view>
 
 #include <fmt/format.h>
 
@@ -14,77 +14,116 @@
 
 namespace {
 
-// The time is left out, but for the end of cold periods in the list's own reading.
-std::uint64_t digestOf(const upstream_listing &listing, std::uint64_t previous)
+// The time is left out, but for the length of a cold period.
+std::string describe(const listed_upstream &upstream)
 {
-    std::string text = fmt::format("{}\n", previous);
-    for (const listed_upstream &upstream : listing.upstreams)
-        text += fmt::format("{}\n{}\n{}\n{}\n{}\n{}\n{}\n{}\n", upstream.id, upstream.service,
-                            upstream.address, upstream.failureDomain, upstream.slots,
-                            upstream.isDraining, upstream.coldFor.count(), upstream.startedMs);
-    return XXH3_64bits(text.data(), text.size()) | 1U; // 0 stands for no list
+    return fmt::format("{}\n{}\n{}\n{}\n{}\n{}\n{}\n{}\n", upstream.id, upstream.service,
+                       upstream.address, upstream.failureDomain, upstream.slots,
+                       upstream.isDraining, upstream.coldFor.count(), upstream.startedMs);
+}
+
+std::uint64_t digestOf(std::uint64_t previous, const std::string &changes)
+{
+    return XXH3_64bits_withSeed(changes.data(), changes.size(), previous)
+        | 1U; // 0 stands for no list
 }
 
 } // namespace
 
-bool listing_history::add(upstream_listing listing)
+bool listing_history::add(const upstream_listing &listing)
 {
-    if (!m_held.empty()) {
-        held &last = m_held.back();
-        const listing_change change = changeBetween(last.listing, listing);
-        if (change.changed.empty() && change.removed.empty()) {
-            last.listing = applyChange(last.listing, change);
-            return false;
-        }
+    std::string changes = takeEntries(listing);
+    changes += removeOthers(listing);
+    return endVersion(listing.readAt, changes);
+}
+
+bool listing_history::merge(const upstream_listing &page)
+{
+    return endVersion(page.readAt, takeEntries(page));
+}
+
+bool listing_history::keepOnly(const upstream_listing &listing)
+{
+    return endVersion(listing.readAt, removeOthers(listing));
+}
+
+std::string listing_history::takeEntries(const upstream_listing &page)
+{
+    std::string changes;
+    for (const listed_upstream &upstream : page.upstreams) {
+        const auto found = m_items.find(upstream.id);
         // Unchanged entries keep the end of their cold period, as they do where the change is
         // applied.
-        listing = applyChange(last.listing, change);
+        if (found != m_items.end()
+            && !differs(found->second.upstream, found->second.seenAt, upstream, page.readAt))
+            continue;
+        m_items.insert_or_assign(upstream.id, item{upstream, page.readAt, m_number + 1});
+        changes += describe(upstream);
     }
-    const std::uint64_t digest = digestOf(listing, this->digest());
-    m_held.push_back({std::move(listing), digest});
-    if (m_held.size() > maxKept)
-        m_held.pop_front();
-    return true;
+    return changes;
+}
+
+std::string listing_history::removeOthers(const upstream_listing &listing)
+{
+    std::set<std::string_view> present;
+    for (const listed_upstream &upstream : listing.upstreams)
+        present.insert(upstream.id);
+    std::string changes;
+    std::erase_if(m_items, [&](const auto &known) {
+        if (present.contains(known.first))
+            return false;
+        m_removals.push_back({known.first, m_number + 1});
+        changes += fmt::format("-{}\n", known.first);
+        return true;
+    });
+    return changes;
 }
 
-bool listing_history::merge(const listing_change &change)
+bool listing_history::endVersion(steady_time readAt, const std::string &changes)
 {
-    return add(applyChange(m_held.back().listing, change));
+    m_readAt = readAt;
+    if (changes.empty() && !isEmpty())
+        return false;
+    m_versions.push_back({digestOf(digest(), changes), ++m_number});
+    if (m_versions.size() > maxVersions)
+        m_versions.pop_front();
+    while (!m_removals.empty() && m_removals.front().number <= m_versions.front().number)
+        m_removals.pop_front();
+    return true;
 }
 
-bool listing_history::keepOnly(const upstream_listing &listing)
+void listing_history::encodeItem(const item &known, wire::node_view &view) const
 {
-    const listing_change change = changeBetween(m_held.back().listing, listing);
-    return merge({listing.readAt, {}, change.removed});
+    listed_upstream upstream = known.upstream;
+    const auto passed = std::chrono::ceil<std::chrono::milliseconds>(m_readAt - known.seenAt);
+    upstream.coldFor = std::max(std::chrono::milliseconds(0), upstream.coldFor - passed);
+    encodeUpstream(upstream, *view.add_upstreams());
 }
 
 void listing_history::answer(const wire::node_report &report, steady_time now,
                              wire::node_view &view) const
 {
-    if (m_held.empty())
+    if (isEmpty())
         return;
-    const held &last = m_held.back();
-    const auto age
-        = std::chrono::duration_cast<std::chrono::milliseconds>(now - last.listing.readAt);
-    if (last.digest != report.listing_digest() && report.listing_digest() != 0
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_readAt);
+    if (digest() != report.listing_digest() && report.listing_digest() != 0
         && age.count() >= report.listing_age_ms())
         return;
-    view.set_listing_digest(last.digest);
+    view.set_listing_digest(digest());
     view.set_listing_age_ms(age.count());
-    if (last.digest == report.listing_digest())
+    if (digest() == report.listing_digest())
         return;
-    const auto base = std::ranges::find(m_held, report.listing_digest(), &held::digest);
-    if (base == m_held.end()) {
-        for (const listed_upstream &upstream : last.listing.upstreams)
-            encodeUpstream(upstream, *view.add_upstreams());
+    const auto base = std::ranges::find(m_versions, report.listing_digest(), &version::digest);
+    const std::uint64_t knownNumber = base == m_versions.end() ? 0 : base->number;
+    for (const auto &[id, known] : m_items)
+        if (known.changedIn > knownNumber)
+            encodeItem(known, view);
+    if (base == m_versions.end())
         return;
-    }
-    const listing_change change = changeBetween(base->listing, last.listing);
     view.set_listing_base(base->digest);
-    for (const listed_upstream &upstream : change.changed)
-        encodeUpstream(upstream, *view.add_upstreams());
-    for (const std::string &id : change.removed)
-        view.add_removed_upstreams(id);
+    for (const removal &removed : m_removals)
+        if (removed.number > knownNumber && !m_items.contains(removed.id))
+            view.add_removed_upstreams(removed.id);
 }
 
 } // namespace buckthorngrade
--- a/src/control/upstream_lister.cc
+++ b/src/control/upstream_lister.cc
@@ -60,17 +60,12 @@
         whole.upstreams.insert(whole.upstreams.end(), page.upstreams.begin(), page.upstreams.end());
         const std::lock_guard lock(m_mutex);
         if (isRecent)
-            logIf(m_history.merge({page.readAt, page.upstreams, {}}));
+            logIf(m_history.merge(page));
     };
     m_source.read(m_readsByDomain ? m_domains : std::vector<std::string>(), takePage);
     chooseReading(pages, largestPage, whole.upstreams.size());
     const std::lock_guard lock(m_mutex);
-    if (isRecent) {
-        logIf(m_history.keepOnly(whole));
-    } else {
-        std::ranges::sort(whole.upstreams, {}, &listed_upstream::id);
-        logIf(m_history.add(std::move(whole)));
-    }
+    logIf(isRecent ? m_history.keepOnly(whole) : m_history.add(whole));
 }
 
 void upstream_lister::chooseReading(std::size_t pages, std::size_t largestPage,
--- a/tests/control/listing_history_test.cc
+++ b/tests/control/listing_history_test.cc
@@ -48,6 +48,7 @@
     CPPUNIT_TEST_SUITE(listing_history_test);
     CPPUNIT_TEST(oldListIsNotSent);
     CPPUNIT_TEST(onlyTheDifferenceIsSent);
+    CPPUNIT_TEST(manyChangesBetweenTwoPollsAreADifference);
     CPPUNIT_TEST(followersHoldTheListAsRead);
     CPPUNIT_TEST(newColdPeriodIsAChange);
     CPPUNIT_TEST_SUITE_END();
@@ -83,6 +84,29 @@
         CPPUNIT_ASSERT_EQUAL(0, exchangeBetween(history, follower, start + 2s).upstreams_size());
     }
 
+    // Guards against a long list whose pages all change within a poll's period, so that every
+    // instance is sent all of it again and again, over links of 2 Mbit/s.
+    void manyChangesBetweenTwoPollsAreADifference()
+    {
+        listing_history history;
+        listing_follower follower;
+        upstream_listing list = listingOf(start, 1'000);
+        history.add(list);
+        exchangeBetween(history, follower, start);
+        constexpr std::size_t pages = 40;
+        for (std::size_t i = 0; i < pages; ++i) {
+            list.readAt += 10ms;
+            list.upstreams[i].isDraining = true;
+            history.merge({list.readAt, {list.upstreams[i]}});
+        }
+        list.upstreams.pop_back();
+        history.keepOnly(list);
+        const wire::node_view view = exchangeBetween(history, follower, start + 1s);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(pages), view.upstreams_size());
+        CPPUNIT_ASSERT_EQUAL(1, view.removed_upstreams_size());
+        CPPUNIT_ASSERT(follower.listing().upstreams == list.upstreams);
+    }
+
     // Random lists through two control instances that alternate as readers: a follower that asks
     // both in any order ends with the newest list.
     void followersHoldTheListAsRead()
