Poll control instances at a rate that they can bear

Cause: each of 185 entry instances asked each control instance twice a second, and ten times a second until it was ready. A control instance needs 0.2 ms of a core for a poll and has 0.15 of a core.

Change: the time between polls grows by half until the instance is ready, then follows the number of instances, at 200 polls a second for each control instance and at most 1 s, and varies by a fifth so that polls don't arrive together. A report says when the next one comes, and the roster waits three of these periods, 4 s at most.

Ruled out for now: control instances that hand the list on to each other, so that an entry instance asks only the nearest. The target of 5,900 nodes needs it; at 185 the rate alone suffices.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds pollPeriod{500};
-constexpr std::chrono::milliseconds startPollPeriod{100}; // until the instance is ready
 // Callers that hold the old answer of the directory send no more after it has expired; requests
 // that come later would not be finished within the stop limit.
 constexpr std::chrono::milliseconds stopTakingAfter{2'800};
@@ -46,6 +44,7 @@
           loop, m_settings.replicaPort(), events,
           [this](const std::string &host, const wire::node_view &view) { applyView(host, view); })
     , m_incarnation(randomIncarnation())
+    , m_schedule(m_incarnation)
 {
     http_server_options options;
     options.streamedBytes = streamedBytes;
@@ -83,6 +82,7 @@
     result.set_region(m_settings.region);
     result.set_failure_domain(m_settings.failureDomain);
     result.set_ready(m_isReady);
+    result.set_period_ms(m_schedule.period().count());
     result.set_leaving(m_isStopping);
     result.set_routing_version(m_routingVersion);
     result.set_evacuation_revision(m_evacuationRevision);
@@ -112,7 +112,7 @@
 void entry_node::poll()
 {
     m_control.poll(report(), nearestControl());
-    m_loop.runAfter(m_isReady ? pollPeriod : startPollPeriod, [this] { poll(); });
+    m_loop.runAfter(m_schedule.nextDelay(), [this] { poll(); });
 }
 
 void entry_node::applyView(const std::string &host, const wire::node_view &view)
@@ -132,6 +132,7 @@
         std::vector<peer_instance> instances;
         for (const wire::node_entry &entry : view.entries())
             instances.push_back({entry.instance(), entry.region()});
+        m_schedule.setInstances(instances.size());
         m_carrier.setInstances(std::move(instances));
         m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
     }
@@ -186,6 +187,7 @@
     if (heard * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listing.isEmpty())
         return;
     m_isReady = true;
+    m_schedule.setReady();
     m_events.write(event_id::readiness_changed,
                    {{"ready", true}, {"version", m_routingVersion}, {"control", heard}});
     m_control.poll(report(), nearestControl());
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -3,6 +3,7 @@
 #include "carrier/carrier.h"
 #include "carrier/control_client.h"
 #include "carrier/listing_follower.h"
+#include "carrier/poll_schedule.h"
 #include "model/node_settings.h"
 #include "net/http_server.h"
 
@@ -54,6 +55,7 @@
     std::set<std::string> m_voterHosts;
     std::set<std::string> m_heard; // control instances that answered since the start
     std::uint64_t m_incarnation;
+    poll_schedule m_schedule;
     std::uint64_t m_routingVersion = 0;
     std::uint64_t m_evacuationRevision = 0;
     listing_follower m_listing;
--- a/src/control/node_roster.cc
+++ b/src/control/node_roster.cc
@@ -1,9 +1,17 @@
 #include "control/node_roster.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace buckthorngrade {
 
+namespace {
+
+constexpr int reportsUntilSilent = 3;
+constexpr std::chrono::milliseconds reportDelay{100}; // a trip between regions, and its variation
+
+} // namespace
+
 void node_roster::update(const wire::node_report &report, steady_time now)
 {
     const std::lock_guard lock(m_mutex);
@@ -16,6 +24,9 @@
                   report.failure_domain(), report.ready() && !report.leaving()};
     known.loads.assign(report.loads().begin(), report.loads().end());
     known.heardAt = now;
+    known.silenceLimit = std::clamp(
+        reportsUntilSilent * std::chrono::milliseconds(report.period_ms()) + reportDelay,
+        shortestSilence, longestSilence);
     std::erase_if(m_records,
                   [&](const auto &item) { return now - item.second.heardAt > forgetAfter; });
 }
@@ -25,7 +36,7 @@
     const std::lock_guard lock(m_mutex);
     std::vector<entry> result;
     for (const auto &[name, known] : m_records)
-        if (now - known.heardAt <= silenceLimit)
+        if (now - known.heardAt <= known.silenceLimit)
             result.push_back(known.last);
     return result;
 }
@@ -35,7 +46,7 @@
     const std::lock_guard lock(m_mutex);
     std::map<std::pair<std::string, std::string>, double> sums;
     for (const auto &[name, known] : m_records)
-        if (now - known.heardAt <= silenceLimit)
+        if (now - known.heardAt <= known.silenceLimit)
             for (const wire::region_load &load : known.loads)
                 sums[{load.service(), load.region()}] += load.requests();
     std::vector<wire::region_load> result;
--- a/src/control/node_roster.h
+++ b/src/control/node_roster.h
@@ -11,13 +11,14 @@
 
 namespace buckthorngrade {
 
-// Entry instances as they report to this control instance. An instance that was silent for
-// `silenceLimit` is left out, and one that was silent for `forgetAfter` is forgotten. Thread-safe.
+// Entry instances as they report to this control instance. An instance that was silent for three of
+// its periods is left out, and one that was silent for `forgetAfter` is forgotten. Thread-safe.
 class node_roster
 {
 public:
-    // Three reports of the usual period.
-    static constexpr std::chrono::milliseconds silenceLimit{1'600};
+    // Time without a report in which one may be on its way late.
+    static constexpr std::chrono::milliseconds shortestSilence{1'600};
+    static constexpr std::chrono::milliseconds longestSilence{4'000};
     static constexpr std::chrono::seconds forgetAfter{15};
 
     struct entry
@@ -42,6 +43,7 @@
         entry last;
         std::vector<wire::region_load> loads;
         steady_time heardAt;
+        std::chrono::milliseconds silenceLimit{};
     };
 
     mutable std::mutex m_mutex;
--- a/tests/control/node_roster_test.cc
+++ b/tests/control/node_roster_test.cc
@@ -26,6 +26,7 @@
 {
     CPPUNIT_TEST_SUITE(node_roster_test);
     CPPUNIT_TEST(silentAndLeavingInstancesAreLeftOut);
+    CPPUNIT_TEST(silenceIsMeasuredInPeriods);
     CPPUNIT_TEST(lateReportOfAnEarlierProcessIsIgnored);
     CPPUNIT_TEST(callersGetTheirRegionFirst);
     CPPUNIT_TEST_SUITE_END();
@@ -44,6 +45,21 @@
         CPPUNIT_ASSERT(roster.live(start + 2s).empty());
     }
 
+    // Guards against instances of a large deployment that are named and left out in turn, and
+    // against a period from the network that keeps a dead one for good.
+    void silenceIsMeasuredInPeriods()
+    {
+        node_roster roster;
+        wire::node_report slow = reportOf("a", 1, true);
+        slow.set_period_ms(1'000);
+        roster.update(slow, start);
+        CPPUNIT_ASSERT(!roster.live(start + 3s).empty());
+        CPPUNIT_ASSERT(roster.live(start + 3'200ms).empty());
+        slow.set_period_ms(60'000);
+        roster.update(slow, start);
+        CPPUNIT_ASSERT(roster.live(start + 4'100ms).empty());
+    }
+
     // Guards against a report that the network delivers after the restart of its instance.
     void lateReportOfAnEarlierProcessIsIgnored()
     {
