Log what bounds each request to a cold upstream

New events: 4033 cold_request_sent has the share, the number of instances and the age of that view, why the upstream counts as cold, and the time between the choice and the first byte; 4034 upstream_cold says why and for how long; 4035 instances_changed says when the set of peers changed. The counter buckthorngrade_cold_requests_total counts all requests to cold upstreams.

No logic of a decision changes.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -269,6 +269,8 @@
             const std::string *echoed = head.find(m_owner.m_protocol.requestId);
             return echoed == nullptr || *echoed == m_id;
         };
+    if (m_choice.coldShare)
+        call.onSent = [self = shared_from_this()] { self->recordColdSent(); };
     call.onResponse = [self = shared_from_this()](const client_response &response) {
         self->handleResponse(response);
     };
@@ -553,6 +555,24 @@
     m_exchange->onBody = nullptr;
 }
 
+void carried_request::recordColdSent()
+{
+    if (!m_upstream)
+        return;
+    const steady_time now = m_owner.m_loop.now();
+    m_owner.m_metrics.counter("buckthorngrade_cold_requests_total").add();
+    if (m_owner.m_log.admits(event_id::cold_request_sent))
+        m_owner.m_log.write(event_id::cold_request_sent,
+                            {{"id", m_id},
+                             {"upstream", m_upstream->listed.id},
+                             {"reason", m_upstream->coldReason},
+                             {"cold_ms", elapsedMs(now, m_upstream->coldUntil)},
+                             {"share", m_choice.coldShare.value_or(0)},
+                             {"instances", m_owner.m_instances.size()},
+                             {"instances_age_ms", elapsedMs(m_owner.m_instancesAt, now)},
+                             {"waited_ms", elapsedMs(m_sentAt, now)}});
+}
+
 void carried_request::logAttempt(std::string_view outcome)
 {
     if (m_upstream && m_owner.m_log.admits(event_id::attempt_failed))
--- a/src/carrier/carried_request.h
+++ b/src/carrier/carried_request.h
@@ -53,6 +53,8 @@
     void forwardBody();
     std::chrono::milliseconds timeLeft() const;
     void logAttempt(std::string_view outcome);
+    // The first byte of an attempt at a cold upstream was sent.
+    void recordColdSent();
 
     carrier &m_owner;
     exchange_pointer m_exchange;
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -110,6 +110,10 @@
 
 void carrier::setInstances(std::vector<peer_instance> instances)
 {
+    m_instancesAt = m_loop.now();
+    if (instances.size() != m_instances.size())
+        m_events.write(event_id::instances_changed,
+                       {{"before", m_instances.size()}, {"instances", instances.size()}});
     m_instances = std::move(instances);
 }
 
@@ -281,11 +285,15 @@
     // Without a queue, a long time is the work's own, and refusing would not shorten it.
     if (placed.isFull && placed.expected > admissionLimit(route, request.latencyTarget))
         return {.upstream = nullptr, .reason = "overloaded"};
-    if (const auto cold = coldShares.find(chosen); cold != coldShares.end())
+    std::optional<std::uint32_t> share;
+    if (const auto cold = coldShares.find(chosen); cold != coldShares.end()) {
         chosen->coldGate.tryTake(now, cold->second);
+        share = cold->second;
+    }
     return {.upstream = m_upstreams.find(chosen->listed.id),
             .isFirst = placed.isFirst,
             .isWarm = candidates[placed.index].isWarm,
+            .coldShare = share,
             .load = candidates[placed.index].load,
             .expected = placed.expected};
 }
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -73,6 +74,8 @@
         const char *reason = ""; // why none can
         bool isFirst = false; // the first upstream of the request's object
         bool isWarm = false; // it has handled the object recently
+        std::optional<std::uint32_t> coldShare
+            = {}; // of a cold upstream's rate; nothing: it is warm
         double load = 0; // requests that it runs or queues, estimated
         std::chrono::duration<double, std::milli> expected{0}; // time until the response
     };
@@ -101,6 +104,7 @@
     service_splitter m_splitter;
     std::map<std::string, service_state> m_services;
     std::vector<peer_instance> m_instances;
+    steady_time m_instancesAt; // when they were told last
     std::map<std::pair<std::string, std::string>, double> m_sharedLoads; // requests of all
                                                                          // instances
     std::unordered_set<carried_request *> m_underWay;
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -137,13 +137,13 @@
         const bool wasDraining = isSame && state->listed.isDraining;
         state->listed = listed;
         if (listed.coldFor.count() > 0)
-            state->coldUntil
-                = std::max(state->coldUntil, listing.readAt + listed.coldFor + coldMargin);
+            extendCold(*state, listing.readAt + listed.coldFor + coldMargin, "listed as cold");
         else if (!isSame && !m_upstreams.empty()) {
             const routed_service *service
                 = routes == nullptr ? nullptr : routes->findService(listed.service);
             if (service != nullptr)
-                state->coldUntil = listing.readAt + service->coldPeriod + coldMargin;
+                extendCold(*state, listing.readAt + service->coldPeriod + coldMargin,
+                           "new in the list");
         }
         if (!isSame || wasDraining != listed.isDraining)
             m_events.write(
@@ -181,11 +181,27 @@
         const routed_service *service
             = routes == nullptr ? nullptr : routes->findService(state->listed.service);
         if (service != nullptr)
-            state->coldUntil = std::max(state->coldUntil, now + service->coldPeriod);
+            extendCold(*state, now + service->coldPeriod, "evacuation ended");
     }
     m_evacuated = std::move(domains);
 }
 
+void upstream_table::extendCold(upstream_state &upstream, steady_time until, const char *reason)
+{
+    const steady_time now = m_loop.now();
+    if (until <= upstream.coldUntil)
+        return;
+    const bool wasCold = upstream.isCold(now);
+    upstream.coldUntil = until;
+    upstream.coldReason = reason;
+    if (!wasCold && upstream.isCold(now))
+        m_events.write(event_id::upstream_cold,
+                       {{"upstream", upstream.listed.id},
+                        {"reason", reason},
+                        {"cold_ms", toMs(until, now)},
+                        {"started_ms", upstream.listed.startedMs}});
+}
+
 std::vector<upstream_state *> upstream_table::usable(const std::string &service,
                                                      steady_time now) const
 {
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -27,6 +27,7 @@
     std::uint64_t hash = 0;
     socket_address address;
     steady_time coldUntil = steady_time::min();
+    const char *coldReason = ""; // why it counts, or counted, as cold
     cold_gate coldGate;
     bool isReplaced = false; // another upstream has answered at its address
     std::uint32_t inFlight = 0; // requests of this instance
@@ -102,6 +103,8 @@
     void keepIdle(const upstream_pointer &upstream, std::unique_ptr<http_client> client);
 
 private:
+    void extendCold(upstream_state &upstream, steady_time until, const char *reason);
+
     event_loop &m_loop;
     std::map<std::string, std::string> m_regionOfDomain;
     event_log &m_events;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -34,6 +34,8 @@
     , m_socket(loop, to)
 {
     stream_socket::handlers handlers;
+    handlers.onConnected = [this] { tellSent(); };
+    handlers.onSent = [this] { tellSent(); };
     handlers.onInput = [this] { readInput(); };
     handlers.onClosed = [this](close_reason reason) { handleClosed(reason); };
     m_socket.setHandlers(std::move(handlers));
@@ -55,6 +57,13 @@
     m_isWhole = m_call->isWhole;
     m_socket.send(m_call->request);
     m_call->request.clear();
+    tellSent();
+}
+
+void http_client::tellSent()
+{
+    if (m_call && m_call->onSent && hasSent())
+        std::exchange(m_call->onSent, nullptr)();
 }
 
 void http_client::append(std::string_view bytes, bool isLast)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -40,6 +40,8 @@
         bool isHead = false;
         // Returns whether a response belongs to this call; empty: all do.
         std::function<bool(const http_head &)> matches;
+        // The first byte was handed to the kernel; empty: not told.
+        std::function<void()> onSent;
         std::function<void(const client_response &)> onResponse;
         std::function<void(call_failure)> onFailure;
     };
@@ -71,6 +73,7 @@
     std::function<void()> onIdleClosed = [] {};
 
 private:
+    void tellSent();
     void readInput();
     bool readHead();
     void finish();
