Reproduce the flood of a cold upstream in four failing tests

partialViewOfThePeersDoesNotEnlargeTheShare: 5 requests in a second, share 1. requestsAreSpacedWhenTheyAreSent: two requests within a second, one after a connection that took 1 s, the other at once. restartUnderTheSameIdMakesCold: over 6 requests in a second after a reset connection. entryThatComesBackKeepsItsCount: over 6 in a second for an entry that one reading left out.

The fixture of the carrier's tests moves to a header of its own.

--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -1,7 +1,5 @@
-#include "carrier/carrier.h"
-#include "testing/http_client.h"
+#include "carrier_fixture.h"
 #include "testing/http_connection.h"
-#include "testing/scripted_server.h"
 #include "testing/wait.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -19,22 +17,6 @@
 
 namespace {
 
-const carry_protocol protocol;
-
-node_settings nodeSettings()
-{
-    node_settings result;
-    result.name = "entry-1";
-    result.host = "127.0.0.1";
-    result.region = "r";
-    result.failureDomain = "d";
-    result.regionOfDomain = {{"d", "r"}, {"e", "r"}};
-    result.retryAllowance = 1'000;
-    result.coldOverage = 1.5;
-    result.coldAllowance = 5;
-    return result;
-}
-
 class line_counter final : public event_log
 {
 public:
@@ -45,118 +27,6 @@
     void writeLine(std::string_view) override { ++lines; }
 };
 
-route routeFor(const std::string &prefix, request_kind kind)
-{
-    route result;
-    result.name = prefix;
-    result.host = "test"; // as the test client names it
-    result.pathPrefix = prefix;
-    result.kind = kind;
-    result.timeout = 20s;
-    result.latencyTarget = 500ms;
-    result.services = {{"s", 1}};
-    result.maxAttempts = 2;
-    return result;
-}
-
-constexpr std::size_t streamedBytes = 1'000;
-
-http_server_options serverOptions()
-{
-    http_server_options result;
-    result.streamedBytes = streamedBytes;
-    return result;
-}
-
-// A carrier behind a server, in front of scripted upstreams "u0", "u1" ... of service "s".
-class carrying
-{
-public:
-    explicit carrying(std::vector<scripted_server::script> scripts)
-        : m_carrier(m_thread.loop(), m_settings, protocol, m_events, m_metrics)
-        , m_server(m_thread.loop(), {"127.0.0.1", 0}, serverOptions(),
-                   [this](const exchange_pointer &exchange) { m_carrier.handle(exchange); })
-    {
-        upstream_listing listing;
-        listing.readAt = std::chrono::steady_clock::now();
-        for (std::size_t i = 0; i < scripts.size(); ++i) {
-            upstreams.push_back(
-                std::make_unique<scripted_server>(m_thread.loop(), std::move(scripts[i])));
-            listing.upstreams.push_back(
-                {fmt::format("u{}", i), "s", upstreams.back()->address(), "d", 4, false, 0ms, 1});
-        }
-        m_listing = listing;
-        routing_document document;
-        document.version = 1;
-        document.routes = {routeFor("/safe/", request_kind::idempotent),
-                           routeFor("/once/", request_kind::non_idempotent)};
-        document.routes.push_back(routeFor("/short/", request_kind::non_idempotent));
-        document.routes.back().timeout = 150ms;
-        document.routes.push_back(routeFor("/home/", request_kind::idempotent));
-        document.routes.back().homeRegions = {"other"};
-        document.services = {{"s", "/health", 100, 3s, 1}};
-        m_carrier.setUpstreams(listing);
-        m_carrier.setRouting(std::make_shared<const route_table>(document));
-        m_carrier.setInstances({{"entry-1", "r"}});
-        m_thread.start();
-    }
-    ~carrying() { m_thread.stop(); }
-    carrying(const carrying &) = delete;
-    carrying &operator=(const carrying &) = delete;
-
-    http_response send(const std::string &path, const std::string &id = "id-1",
-                       const std::string &body = {}, const std::string &object = {})
-    {
-        http_request request;
-        request.method = body.empty() ? "GET" : "POST";
-        request.path = path;
-        request.headers = {{protocol.requestId, id}, {protocol.deadlineMs, "30000"}};
-        if (!object.empty())
-            request.headers["Cookie"] = protocol.affinityCookie + "=" + object;
-        request.body = body;
-        return exchange(m_server.address().toString(), request);
-    }
-    std::string address() const { return m_server.address().toString(); }
-    std::size_t arrivals() const
-    {
-        std::size_t result = 0;
-        for (const auto &upstream : upstreams)
-            result += upstream->requests().size();
-        return result;
-    }
-    void apply(const std::function<void(upstream_listing &)> &change)
-    {
-        m_thread.call([&] {
-            change(m_listing);
-            m_carrier.setUpstreams(m_listing);
-        });
-    }
-    carrier &get() { return m_carrier; }
-    loop_thread &thread() { return m_thread; }
-
-    std::vector<std::unique_ptr<scripted_server>> upstreams;
-
-private:
-    loop_thread m_thread;
-    node_settings m_settings = nodeSettings();
-    null_event_log m_events;
-    metric_registry m_metrics;
-    upstream_listing m_listing;
-    carrier m_carrier;
-    http_server m_server;
-};
-
-std::string echo(const std::string &request)
-{
-    return fmt::format("{}: {}\r\n", protocol.requestId,
-                       scriptedField(request, protocol.requestId));
-}
-
-scripted_answer answerOk(const std::string &request)
-{
-    return {scriptedResponse(200, echo(request) + protocol.seal + ": s\r\n", "done")};
-}
-
 std::string uploadHead(bool isChunked, std::size_t size)
 {
     return fmt::format(
@@ -164,11 +34,6 @@
         isChunked ? "Transfer-Encoding: chunked" : fmt::format("Content-Length: {}", size));
 }
 
-scripted_answer refuse(const std::string &request)
-{
-    return {scriptedResponse(503, echo(request) + protocol.notRun + ": 1\r\n", "")};
-}
-
 } // namespace
 
 class carrier_test : public CppUnit::TestFixture
--- /dev/null
+++ b/tests/carrier/cold_upstream_test.cc
@@ -0,0 +1,193 @@
+#include "carrier_fixture.h"
+#include "testing/wait.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <mutex>
+#include <thread>
+
+using namespace buckthorngrade;
+
+namespace {
+
+// The fixture's service has a rate of 1 a second, and its settings allow 1.5 x 1 + 5 of all
+// instances.
+constexpr std::size_t coldBound = 6;
+
+// Answers all requests and notes when they arrive.
+class timed_upstream
+{
+public:
+    scripted_server::script script()
+    {
+        return [this](const std::string &request) {
+            noteArrival();
+            return answerOk(request);
+        };
+    }
+    void noteArrival()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(std::chrono::steady_clock::now());
+    }
+    std::size_t arrivals() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrivals.size();
+    }
+    // Largest number of arrivals within a second, of those after the first `skipped`.
+    std::size_t mostInASecond(std::size_t skipped = 0) const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::size_t most = 0;
+        for (std::size_t first = skipped; first < m_arrivals.size(); ++first) {
+            const auto end = std::ranges::lower_bound(m_arrivals, m_arrivals[first] + 1s);
+            most = std::max<std::size_t>(most, end - m_arrivals.begin() - first);
+        }
+        return most;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<steady_time> m_arrivals;
+};
+
+void makeCold(carrying &system)
+{
+    system.apply([](upstream_listing &listing) {
+        listing.readAt = std::chrono::steady_clock::now();
+        listing.upstreams[0].coldFor = 60s;
+    });
+}
+
+std::size_t serve(carrying &system, int requests)
+{
+    std::size_t served = 0;
+    for (int i = 0; i < requests; ++i)
+        served += system.send("/safe/x").status == 200 ? 1 : 0;
+    return served;
+}
+
+} // namespace
+
+// What keeps all entry instances together within the rate of an upstream that may be cold.
+class cold_upstream_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(cold_upstream_test);
+    CPPUNIT_TEST(partialViewOfThePeersDoesNotEnlargeTheShare);
+    CPPUNIT_TEST(requestsAreSpacedWhenTheyAreSent);
+    CPPUNIT_TEST(restartUnderTheSameIdMakesCold);
+    CPPUNIT_TEST(entryThatComesBackKeepsItsCount);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a share of a few, taken from a control instance that has just started.
+    void partialViewOfThePeersDoesNotEnlargeTheShare()
+    {
+        timed_upstream upstream;
+        carrying system({upstream.script()});
+        makeCold(system);
+        system.tellInstances({{"entry-1", "r"}, {"entry-2", "r"}, {"entry-3", "r"}});
+        system.tellInstances({{"entry-1", "r"}});
+        serve(system, 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.mostInASecond());
+    }
+
+    // Guards against a slow connection that brings a request close to the next one.
+    void requestsAreSpacedWhenTheyAreSent()
+    {
+        // With its queue of connections full, the kernel drops the first packet of the carrier's
+        // connection, which is sent again after a second.
+        Poco::Net::ServerSocket listener;
+        listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+        listener.listen(0);
+        std::vector<Poco::Net::StreamSocket> queued;
+        for (int i = 0; i < 3; ++i) {
+            queued.emplace_back(Poco::Net::SocketAddress::IPv4);
+            queued.back().connectNB(listener.address());
+        }
+        timed_upstream upstream;
+        carrying system({upstream.script()});
+        system.apply([&](upstream_listing &listing) {
+            listing.readAt = std::chrono::steady_clock::now();
+            listing.upstreams[0].coldFor = 60s;
+            listing.upstreams[0].address = listener.address().toString();
+        });
+        system.tellInstances({{"entry-1", "r"}, {"entry-2", "r"}, {"entry-3", "r"}});
+        std::thread server([&] {
+            // Requests beside each other use a connection each.
+            std::vector<Poco::Net::StreamSocket> callers;
+            const auto end = std::chrono::steady_clock::now() + defaultWaitLimit;
+            while (upstream.arrivals() < 2 && std::chrono::steady_clock::now() < end) {
+                if (listener.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ))
+                    callers.push_back(listener.acceptConnection());
+                for (Poco::Net::StreamSocket &caller : callers) {
+                    if (!caller.poll(Poco::Timespan(0, 1'000), Poco::Net::Socket::SELECT_READ))
+                        continue;
+                    std::string request(4'096, '\0');
+                    const int size
+                        = caller.receiveBytes(request.data(), static_cast<int>(request.size()));
+                    if (size <= 0)
+                        continue;
+                    request.resize(static_cast<std::size_t>(size));
+                    upstream.noteArrival();
+                    const std::string answer = answerOk(request).bytes;
+                    caller.sendBytes(answer.data(), static_cast<int>(answer.size()));
+                }
+            }
+        });
+        std::thread first([&] { system.send("/safe/x", "id-first"); });
+        waitUntil("two requests arrived", [&] {
+            system.send("/safe/x", "id-next");
+            return upstream.arrivals() >= 2;
+        });
+        first.join();
+        server.join();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.mostInASecond());
+    }
+
+    // Guards against the load of a warm upstream for one that restarted before the list says so.
+    void restartUnderTheSameIdMakesCold()
+    {
+        timed_upstream upstream;
+        bool isRestarting = false; // used on the loop's thread
+        carrying system({[&, answer = upstream.script()](const std::string &request) {
+            scripted_answer result = answer(request);
+            if (isRestarting) {
+                result = {"", false, true};
+                isRestarting = false;
+            }
+            return result;
+        }});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, serve(system, 5));
+        system.thread().call([&] { isRestarting = true; });
+        system.send("/once/x");
+        const std::size_t before = upstream.arrivals();
+        serve(system, 60);
+        CPPUNIT_ASSERT(upstream.mostInASecond(before) <= coldBound);
+    }
+
+    // Guards against a second share for an upstream that one reading of the list leaves out.
+    void entryThatComesBackKeepsItsCount()
+    {
+        timed_upstream upstream;
+        carrying system({upstream.script()});
+        makeCold(system);
+        for (int round = 0; round < 4; ++round) {
+            serve(system, 20);
+            listed_upstream missing;
+            system.apply([&](upstream_listing &listing) {
+                missing = listing.upstreams[0];
+                listing.upstreams.clear();
+            });
+            system.apply([&](upstream_listing &listing) { listing.upstreams = {missing}; });
+        }
+        CPPUNIT_ASSERT(upstream.mostInASecond() <= coldBound);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cold_upstream_test);
