Make the reproduction of the slow connection deterministic

requestsAreSpacedWhenTheyAreSent passed once: three connections competed for the full queue of the listener, and the thread that accepts them could empty it before the carrier connected. One connection fills the queue now, and it is emptied only after the first request has an upstream.

--- a/tests/carrier/cold_upstream_test.cc
+++ b/tests/carrier/cold_upstream_test.cc
@@ -105,11 +105,7 @@
         Poco::Net::ServerSocket listener;
         listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
         listener.listen(0);
-        std::vector<Poco::Net::StreamSocket> queued;
-        for (int i = 0; i < 3; ++i) {
-            queued.emplace_back(Poco::Net::SocketAddress::IPv4);
-            queued.back().connectNB(listener.address());
-        }
+        const Poco::Net::StreamSocket queued(listener.address());
         timed_upstream upstream;
         carrying system({upstream.script()});
         system.apply([&](upstream_listing &listing) {
@@ -118,6 +114,12 @@
             listing.upstreams[0].address = listener.address().toString();
         });
         system.tellInstances({{"entry-1", "r"}, {"entry-2", "r"}, {"entry-3", "r"}});
+        std::thread first([&] { system.send("/safe/x", "id-first"); });
+        waitUntil("the first request has an upstream", [&] {
+            bool isChosen = false;
+            system.thread().call([&] { isChosen = !system.get().ownLoads().empty(); });
+            return isChosen;
+        });
         std::thread server([&] {
             // Requests beside each other use a connection each.
             std::vector<Poco::Net::StreamSocket> callers;
@@ -140,7 +142,6 @@
                 }
             }
         });
-        std::thread first([&] { system.send("/safe/x", "id-first"); });
         waitUntil("two requests arrived", [&] {
             system.send("/safe/x", "id-next");
             return upstream.arrivals() >= 2;
