Divide bounds among all peers named lately, not among the last ones named

What callers saw: requests to a cold upstream above its rate (FAILBACK).

Cause: an entry instance took the instances that one control instance named for all of them. A control instance that has just started names only those that have reported to it since, so each instance that asks it takes itself for one of few and its share grows up to the whole bound, while the others use theirs. The same happened at the other end: an instance that was cut off kept its share for good while the others divided it anew.

Change: peer_view keeps an instance among the peers for 6 s after it was named last. An instance uses its shares only while an answer that names it is at most 3 s old, and 4 s after it was first named. Shares are handed over only after the earlier holder has given them up. Times are of CLOCK_BOOTTIME, which goes on while a machine is suspended.

Ruled out: waiting at the control instance until all have reported; it does not help an instance that is cut off and keeps its share.

--- /dev/null
+++ b/src/base/clock.cc
@@ -0,0 +1,15 @@
+#include "base/clock.h"
+
+#include <ctime>
+
+namespace buckthorngrade {
+
+boot_time boot_clock::now() noexcept
+{
+    timespec time{};
+    // Fails only for a clock that the kernel does not know.
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace buckthorngrade
--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -428,7 +428,7 @@
         return ++m_unreached < maxUnreached;
     return m_attempts < std::max(1U, m_route->maxAttempts)
         && m_owner.stateOf(m_service).budget.tryTake(m_owner.m_loop.now(),
-                                                     m_owner.m_instances.size());
+                                                     m_owner.m_peers.peers().size());
 }
 
 void carried_request::repeatOrAnswer(int status, const char *reason, bool arrived)
@@ -568,8 +568,8 @@
                              {"reason", m_upstream->coldReason},
                              {"cold_ms", elapsedMs(now, m_upstream->coldUntil)},
                              {"share", m_choice.coldShare.value_or(0)},
-                             {"instances", m_owner.m_instances.size()},
-                             {"instances_age_ms", elapsedMs(m_owner.m_instancesAt, now)},
+                             {"instances", m_owner.m_peers.peers().size()},
+                             {"instances_age_ms", m_owner.m_peers.age(boot_clock::now()).count()},
                              {"waited_ms", elapsedMs(m_sentAt, now)}});
 }
 
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -56,7 +56,7 @@
 } // namespace
 
 carrier::carrier(event_loop &loop, const node_settings &settings, const carry_protocol &protocol,
-                 event_log &events, metric_registry &metrics)
+                 peer_view &peers, event_log &events, metric_registry &metrics)
     : m_loop(loop)
     , m_settings(settings)
     , m_protocol(protocol)
@@ -64,6 +64,7 @@
     , m_log(events)
     , m_metrics(metrics)
     , m_upstreams(loop, settings.regionOfDomain, events)
+    , m_peers(peers)
     , m_random(hashOf(settings.name))
 {
     loop.runEvery(shareUpdatePeriod, [this] { updateShares(); });
@@ -108,13 +109,14 @@
     m_upstreams.apply(listing, m_routes.get());
 }
 
-void carrier::setInstances(std::vector<peer_instance> instances)
+void carrier::setInstances(const std::vector<peer_instance> &instances)
 {
-    m_instancesAt = m_loop.now();
-    if (instances.size() != m_instances.size())
+    const std::size_t before = m_peers.peers().size();
+    if (m_peers.update(instances, boot_clock::now()))
         m_events.write(event_id::instances_changed,
-                       {{"before", m_instances.size()}, {"instances", instances.size()}});
-    m_instances = std::move(instances);
+                       {{"before", before},
+                        {"instances", m_peers.peers().size()},
+                        {"named", instances.size()}});
 }
 
 void carrier::setRegionLoads(const std::vector<wire::region_load> &loads)
@@ -190,7 +192,7 @@
             regions[upstream->region].slots += upstream->listed.slots;
             own[upstream->region] += runningRequests(*upstream);
         }
-        for (const peer_instance &instance : m_instances)
+        for (const peer_instance &instance : m_peers.peers())
             if (const auto region = regions.find(instance.region); region != regions.end())
                 region->second.entries += 1;
         for (auto &[region, state] : regions) {
@@ -235,12 +237,15 @@
     });
     if (usable.empty())
         return {.upstream = nullptr, .reason = "no usable upstream"};
+    const bool mayUseShares = m_peers.mayUseShares(boot_clock::now());
     std::map<const upstream_state *, std::uint32_t> coldShares;
     std::erase_if(usable, [&](upstream_state *upstream) {
         if (!upstream->isCold(now))
             return false;
-        const std::uint32_t share = coldShare(m_instances, m_settings.name, upstream->listed.id,
-                                              upstream->region, coldLimit(*upstream));
+        const std::uint32_t share = mayUseShares
+            ? coldShare(m_peers.peers(), m_settings.name, upstream->listed.id, upstream->region,
+                        coldLimit(*upstream))
+            : 0;
         coldShares[upstream] = share;
         return !upstream->coldGate.isOpen(now, share);
     });
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -10,6 +10,7 @@
 #include "model/node_settings.h"
 #include "net/http_server.h"
 #include "steering/cold_gate.h"
+#include "steering/peer_view.h"
 #include "steering/region_share.h"
 #include "steering/retry_budget.h"
 
@@ -34,7 +35,7 @@
 public:
     // All references must outlive this.
     carrier(event_loop &loop, const node_settings &settings, const carry_protocol &protocol,
-            event_log &events, metric_registry &metrics);
+            peer_view &peers, event_log &events, metric_registry &metrics);
     ~carrier();
     carrier(const carrier &) = delete;
     carrier &operator=(const carrier &) = delete;
@@ -45,7 +46,8 @@
     void setRouting(std::shared_ptr<const route_table> routes);
     void setEvacuated(std::set<std::string> domains);
     void setUpstreams(const upstream_listing &listing);
-    void setInstances(std::vector<peer_instance> instances);
+    // The entry instances that a control instance names.
+    void setInstances(const std::vector<peer_instance> &instances);
     void setRegionLoads(const std::vector<wire::region_load> &loads);
     // Logs a request that was rejected as malformed, within the bounds of the log.
     void recordInvalid(const std::string &reason);
@@ -101,10 +103,9 @@
     metric_registry &m_metrics;
     std::shared_ptr<const route_table> m_routes;
     upstream_table m_upstreams;
+    peer_view &m_peers;
     service_splitter m_splitter;
     std::map<std::string, service_state> m_services;
-    std::vector<peer_instance> m_instances;
-    steady_time m_instancesAt; // when they were told last
     std::map<std::pair<std::string, std::string>, double> m_sharedLoads; // requests of all
                                                                          // instances
     std::unordered_set<carried_request *> m_underWay;
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -39,7 +39,8 @@
     , m_settings(std::move(settings))
     , m_codec(codec)
     , m_events(events)
-    , m_carrier(loop, m_settings, protocol, events, metrics)
+    , m_peers(m_settings.name)
+    , m_carrier(loop, m_settings, protocol, m_peers, events, metrics)
     , m_control(
           loop, m_settings.replicaPort(), events,
           [this](const std::string &host, const wire::node_view &view) { applyView(host, view); })
@@ -132,8 +133,8 @@
         std::vector<peer_instance> instances;
         for (const wire::node_entry &entry : view.entries())
             instances.push_back({entry.instance(), entry.region()});
-        m_schedule.setInstances(instances.size());
-        m_carrier.setInstances(std::move(instances));
+        m_carrier.setInstances(instances);
+        m_schedule.setInstances(m_peers.peers().size());
         m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
     }
     updateReadiness();
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -50,6 +50,7 @@
     node_settings m_settings;
     const routing_codec &m_codec;
     event_log &m_events;
+    peer_view m_peers;
     carrier m_carrier;
     control_client m_control;
     std::set<std::string> m_voterHosts;
--- a/src/steering/cold_gate.h
+++ b/src/steering/cold_gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "steering/peer_view.h"
 
 #include <chrono>
 #include <cstdint>
@@ -10,13 +11,6 @@
 
 namespace buckthorngrade {
 
-// Another entry instance, as far as placement is concerned.
-struct peer_instance
-{
-    std::string name;
-    std::string region;
-};
-
 // How many requests this instance may send to a cold upstream within `coldInterval`, so that all
 // instances together stay within `perSecond`. Without asking each other, all give the upstream's
 // seats to the same instances: those of its region first, then by a hash of instance and upstream.
--- a/tests/carrier/carrier_fixture.h
+++ b/tests/carrier/carrier_fixture.h
@@ -61,7 +61,7 @@
 {
 public:
     explicit carrying(std::vector<scripted_server::script> scripts)
-        : m_carrier(m_thread.loop(), m_settings, protocol, m_events, m_metrics)
+        : m_carrier(m_thread.loop(), m_settings, protocol, m_peers, m_events, m_metrics)
         , m_server(m_thread.loop(), {"127.0.0.1", 0}, serverOptions(),
                    [this](const exchange_pointer &exchange) { m_carrier.handle(exchange); })
     {
@@ -85,7 +85,12 @@
         document.services = {{"s", "/health", 100, 3s, 1}};
         m_carrier.setUpstreams(listing);
         m_carrier.setRouting(std::make_shared<const route_table>(document));
-        m_carrier.setInstances({{"entry-1", "r"}});
+        // The instance has been among its peers for a while.
+        const boot_time now = boot_clock::now();
+        for (auto age = peer_view::joinTime; age.count() > 0; age -= peer_view::validity / 2)
+            m_peers.update(m_named, now - age);
+        m_carrier.setInstances(m_named);
+        m_thread.loop().runEvery(500ms, [this] { m_carrier.setInstances(m_named); });
         m_thread.start();
     }
     ~carrying() { m_thread.stop(); }
@@ -122,7 +127,10 @@
     // What a control instance answers about the entry instances.
     void tellInstances(const std::vector<peer_instance> &instances)
     {
-        m_thread.call([&] { m_carrier.setInstances(instances); });
+        m_thread.call([&] {
+            m_named = instances;
+            m_carrier.setInstances(m_named);
+        });
     }
     carrier &get() { return m_carrier; }
     loop_thread &thread() { return m_thread; }
@@ -132,6 +140,8 @@
 private:
     loop_thread m_thread;
     const node_settings m_settings = nodeSettings();
+    std::vector<peer_instance> m_named = {{"entry-1", "r"}};
+    peer_view m_peers{"entry-1"};
     null_event_log m_events;
     metric_registry m_metrics;
     upstream_listing m_listing;
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -372,7 +372,8 @@
         event_loop loop;
         metric_registry metrics;
         const node_settings settings = nodeSettings();
-        carrier carrying(loop, settings, protocol, events, metrics);
+        peer_view peers(settings.name);
+        carrier carrying(loop, settings, protocol, peers, events, metrics);
         for (int i = 0; i < 1'000; ++i)
             carrying.recordInvalid("a request needs one Host field");
         CPPUNIT_ASSERT_EQUAL(request_log::linesPerSecond, events.lines);
