Compare keyed requests with the state's own time in the test of histories

Cause, in the test: a record expires by the state's time, the latest of all commands, and the check that a key runs once used the test's clock, which is up to 3 s ahead of commands from a leader whose clock is behind. The record was younger for the test than for the state, so the test took a key that had expired for one that still runs. The status itself agreed with the reference.

The check now keeps the latest time of all commands, which is exactly the state's: it is as strict as before.

--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -70,6 +70,7 @@
         }
         // A new leader's clock may be behind.
         command.set_wall_ms(m_wallMs - static_cast<std::int64_t>(pick(8) == 0 ? pick(3'000) : 0));
+        m_stateMs = std::max(m_stateMs, command.wall_ms());
         ++m_index;
         applyBoth(command);
     }
@@ -182,13 +183,13 @@
             return;
         const auto found = m_running.find(begin.key());
         const bool isExpired = found != m_running.end()
-            && found->second.first < m_wallMs - smallLimits().requestRetention.count();
+            && found->second.first < m_stateMs - smallLimits().requestRetention.count();
         CPPUNIT_ASSERT_MESSAGE(
             where() + ": a key runs twice",
             found == m_running.end() || isExpired
                 || (begin.attempt() != 0 && found->second.second == begin.attempt()));
         if (found == m_running.end() || isExpired)
-            m_running[begin.key()] = {m_wallMs, begin.attempt()};
+            m_running[begin.key()] = {m_stateMs, begin.attempt()};
     }
 
     void compare()
@@ -219,6 +220,7 @@
     int m_step = 0;
     log_index m_index = 0;
     std::int64_t m_wallMs = startMs;
+    std::int64_t m_stateMs = 0; // time of the state: the latest of all commands
     std::uint64_t m_attempt = 0;
     std::vector<wire::command> m_sent;
     std::vector<wire::begin_request> m_begun;
