Count a request to a cold upstream when it is sent

What callers saw: requests to a cold upstream above its rate (FAILBACK).

Cause: cold_gate counted a request when its upstream was chosen. A request that opens a connection is sent a round trip later, or after seconds if a packet is lost or the instance is frozen; the next one goes at once on the open connection. The gate spaces choices by 1.1 s, so with 110 ms between regions two requests of one instance leave within 990 ms, and ten instances that meet a cold upstream at the same moment send up to twice the rate that is handed out.

Change: a choice reserves a place, which counts until the request is given up or 1.1 s after its first byte was handed to the kernel.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -156,6 +156,7 @@
         m_client->cancel();
     m_client.reset();
     m_upstream.reset();
+    m_choice.coldPermit = {};
 }
 
 std::chrono::milliseconds carried_request::timeLeft() const
@@ -269,7 +270,7 @@
             const std::string *echoed = head.find(m_owner.m_protocol.requestId);
             return echoed == nullptr || *echoed == m_id;
         };
-    if (m_choice.coldShare)
+    if (m_choice.coldPermit.isHeld())
         call.onSent = [self = shared_from_this()] { self->recordColdSent(); };
     call.onResponse = [self = shared_from_this()](const client_response &response) {
         self->handleResponse(response);
@@ -479,6 +480,7 @@
 
 void carried_request::releaseUpstream()
 {
+    m_choice.coldPermit = {};
     if (m_upstream) {
         --m_upstream->inFlight;
         // The connections of an upstream that is gone end with it, and this one may be on the
@@ -560,6 +562,7 @@
     if (!m_upstream)
         return;
     const steady_time now = m_owner.m_loop.now();
+    m_choice.coldPermit.recordSent(now);
     m_owner.m_metrics.counter("buckthorngrade_cold_requests_total").add();
     if (m_owner.m_log.admits(event_id::cold_request_sent))
         m_owner.m_log.write(event_id::cold_request_sent,
@@ -567,7 +570,7 @@
                              {"upstream", m_upstream->listed.id},
                              {"reason", m_upstream->coldReason},
                              {"cold_ms", elapsedMs(now, m_upstream->coldUntil)},
-                             {"share", m_choice.coldShare.value_or(0)},
+                             {"share", m_choice.coldPermit.share()},
                              {"instances", m_owner.m_peers.peers().size()},
                              {"instances_age_ms", m_owner.m_peers.age(boot_clock::now()).count()},
                              {"waited_ms", elapsedMs(m_sentAt, now)}});
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -247,7 +247,7 @@
                         coldLimit(*upstream))
             : 0;
         coldShares[upstream] = share;
-        return !upstream->coldGate.isOpen(now, share);
+        return !upstream->coldGate->isOpen(now, share);
     });
     if (usable.empty())
         return {.upstream = nullptr, .reason = "only cold upstreams"};
@@ -290,15 +290,14 @@
     // Without a queue, a long time is the work's own, and refusing would not shorten it.
     if (placed.isFull && placed.expected > admissionLimit(route, request.latencyTarget))
         return {.upstream = nullptr, .reason = "overloaded"};
-    std::optional<std::uint32_t> share;
-    if (const auto cold = coldShares.find(chosen); cold != coldShares.end()) {
-        chosen->coldGate.tryTake(now, cold->second);
-        share = cold->second;
-    }
+    cold_permit permit;
+    if (const auto cold = coldShares.find(chosen);
+        cold != coldShares.end() && chosen->coldGate->tryReserve(now, cold->second))
+        permit = cold_permit(chosen->coldGate, cold->second);
     return {.upstream = m_upstreams.find(chosen->listed.id),
             .isFirst = placed.isFirst,
             .isWarm = candidates[placed.index].isWarm,
-            .coldShare = share,
+            .coldPermit = std::move(permit),
             .load = candidates[placed.index].load,
             .expected = placed.expected};
 }
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -76,8 +76,7 @@
         const char *reason = ""; // why none can
         bool isFirst = false; // the first upstream of the request's object
         bool isWarm = false; // it has handled the object recently
-        std::optional<std::uint32_t> coldShare
-            = {}; // of a cold upstream's rate; nothing: it is warm
+        cold_permit coldPermit = {}; // held if the upstream is cold
         double load = 0; // requests that it runs or queues, estimated
         std::chrono::duration<double, std::milli> expected{0}; // time until the response
     };
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -28,7 +28,7 @@
     socket_address address;
     steady_time coldUntil = steady_time::min();
     const char *coldReason = ""; // why it counts, or counted, as cold
-    cold_gate coldGate;
+    std::shared_ptr<cold_gate> coldGate = std::make_shared<cold_gate>();
     bool isReplaced = false; // another upstream has answered at its address
     std::uint32_t inFlight = 0; // requests of this instance
 
--- a/src/steering/cold_gate.cc
+++ b/src/steering/cold_gate.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace buckthorngrade {
 
@@ -39,15 +40,55 @@
 bool cold_gate::isOpen(steady_time now, std::uint32_t share)
 {
     std::erase_if(m_sent, [now](steady_time sent) { return now - sent >= coldInterval; });
-    return m_sent.size() < share;
+    return m_sent.size() + m_reserved < share;
 }
 
-bool cold_gate::tryTake(steady_time now, std::uint32_t share)
+bool cold_gate::tryReserve(steady_time now, std::uint32_t share)
 {
     if (!isOpen(now, share))
         return false;
-    m_sent.push_back(now);
+    ++m_reserved;
     return true;
 }
 
+void cold_gate::recordSent(steady_time now)
+{
+    --m_reserved;
+    m_sent.push_back(now);
+}
+
+void cold_gate::release()
+{
+    --m_reserved;
+}
+
+cold_permit::cold_permit(std::shared_ptr<cold_gate> gate, std::uint32_t share)
+    : m_gate(std::move(gate))
+    , m_share(share)
+{ }
+
+cold_permit::cold_permit(cold_permit &&other) noexcept
+    : m_gate(std::move(other.m_gate))
+    , m_share(other.m_share)
+{ }
+
+cold_permit &cold_permit::operator=(cold_permit &&other) noexcept
+{
+    std::swap(m_gate, other.m_gate);
+    std::swap(m_share, other.m_share);
+    return *this;
+}
+
+cold_permit::~cold_permit()
+{
+    if (m_gate)
+        m_gate->release();
+}
+
+void cold_permit::recordSent(steady_time now)
+{
+    if (m_gate)
+        std::exchange(m_gate, nullptr)->recordSent(now);
+}
+
 } // namespace buckthorngrade
--- a/tests/control/shared_bounds_history_test.cc
+++ b/tests/control/shared_bounds_history_test.cc
@@ -116,8 +116,10 @@
         const std::uint32_t share = each.peers.mayUseShares(bootTimeOf(now))
             ? coldShare(each.peers.peers(), each.name, "upstream", "r", m_bound)
             : 0;
-        if (each.gate.tryTake(now, share))
+        if (each.gate.tryReserve(now, share)) {
+            each.gate.recordSent(now);
             m_sent.push_back(now);
+        }
     }
 
     // Reports to all control instances; any of them answers with the peers.
--- a/tests/steering/shared_budgets_test.cc
+++ b/tests/steering/shared_budgets_test.cc
@@ -47,6 +47,7 @@
 {
     CPPUNIT_TEST_SUITE(shared_budgets_test);
     CPPUNIT_TEST(coldUpstreamsStayWithinTheirRate);
+    CPPUNIT_TEST(coldRateHoldsWhenRequestsWaitForConnections);
     CPPUNIT_TEST(unknownInstancesGiveNoSeat);
     CPPUNIT_TEST(repeatsStayWithinTheBudgetOfAll);
     CPPUNIT_TEST(regionSharesMoveByAStepAtMost);
@@ -71,8 +72,10 @@
                 const std::size_t who = random() % instances.size();
                 const std::uint32_t share
                     = coldShare(instances, instances[who].name, "upstream", "near", bound);
-                if (gates[who].tryTake(now, share))
+                if (gates[who].tryReserve(now, share)) {
+                    gates[who].recordSent(now);
                     sent.push_back(now);
+                }
             }
             CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
                                    static_cast<double>(mostWithin(sent, 1s)) <= bound);
@@ -81,6 +84,48 @@
         }
     }
 
+    // Guards against requests that are spaced when they are chosen and not when they are sent.
+    void coldRateHoldsWhenRequestsWaitForConnections()
+    {
+        struct waiting_request
+        {
+            std::size_t who;
+            steady_time end;
+            bool isSent; // otherwise it is given up
+        };
+        for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+            std::mt19937_64 random(seed);
+            const auto instances = instancesIn(1 + random() % 20);
+            const double bound = 2 + static_cast<double>(random() % 30);
+            std::vector<cold_gate> gates(instances.size());
+            std::vector<waiting_request> waiting;
+            std::vector<steady_time> sent;
+            for (auto now = start; now < start + 8s; now += 3ms) {
+                std::erase_if(waiting, [&](const waiting_request &request) {
+                    if (request.end > now)
+                        return false;
+                    if (request.isSent) {
+                        gates[request.who].recordSent(now);
+                        sent.push_back(now);
+                    } else {
+                        gates[request.who].release();
+                    }
+                    return true;
+                });
+                const std::size_t who = random() % instances.size();
+                const std::uint32_t share
+                    = coldShare(instances, instances[who].name, "upstream", "near", bound);
+                if (gates[who].tryReserve(now, share))
+                    waiting.push_back(
+                        {who, now + std::chrono::milliseconds(random() % 900), random() % 8 != 0});
+            }
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
+                                   static_cast<double>(mostWithin(sent, 1s)) <= bound);
+            if (bound >= 4)
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: no request", seed), !sent.empty());
+        }
+    }
+
     void unknownInstancesGiveNoSeat()
     {
         CPPUNIT_ASSERT_EQUAL(0U, coldShare({}, "entry-0", "upstream", "near", 20));
