Keep the count of a cold upstream's requests while its entry changes

What callers saw: requests to a cold upstream above its rate (FAILBACK).

Cause: the gate was part of the state of one list entry. An entry that one reading left out, or whose start, address or service another reader showed differently, came back with a new state, and the requests of the last second were forgotten: the instance used its share again.

Evidence: entryThatComesBackKeepsItsCount failed before, with over 6 requests in a second from one instance whose share is 5, and passes.

Change: upstream_table keeps the gates by id, beyond the entry, until they no longer count anything.

--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -131,6 +131,10 @@
                 continue;
             }
             state->hash = hashOf(listed.id);
+            std::shared_ptr<cold_gate> &gate = m_gates[listed.id];
+            if (!gate)
+                gate = std::make_shared<cold_gate>();
+            state->coldGate = gate;
             const auto region = m_regionOfDomain.find(listed.failureDomain);
             state->region = region == m_regionOfDomain.end() ? "" : region->second;
         }
@@ -260,6 +264,9 @@
             return !connection.client->isReusable()
                 || m_loop.now() - connection.since > longestIdle;
         });
+    std::erase_if(m_gates, [this](const auto &item) {
+        return item.second.use_count() == 1 && item.second->isIdle(m_loop.now());
+    });
 }
 
 } // namespace buckthorngrade
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -28,7 +28,7 @@
     socket_address address;
     steady_time coldUntil = steady_time::min();
     const char *coldReason = ""; // why it counts, or counted, as cold
-    std::shared_ptr<cold_gate> coldGate = std::make_shared<cold_gate>();
+    std::shared_ptr<cold_gate> coldGate;
     bool isReplaced = false; // another upstream has answered at its address
     std::uint32_t inFlight = 0; // requests of this instance
 
@@ -94,7 +94,7 @@
         return m_evacuated.contains(upstream.listed.failureDomain);
     }
     bool isEmpty() const { return m_upstreams.empty(); }
-    // Closes connections that have been idle for too long.
+    // Closes connections that have been idle for too long, and forgets gates that no longer count.
     void closeIdle();
 
     // An idle connection that was used at most `maxIdle` ago, or null.
@@ -111,6 +111,8 @@
     std::map<std::string, upstream_pointer> m_upstreams; // by id
     std::map<std::string, std::vector<upstream_state *>> m_byService;
     std::set<std::string> m_evacuated;
+    // By id. What was sent a moment ago counts also if the entry changes or is gone meanwhile.
+    std::map<std::string, std::shared_ptr<cold_gate>> m_gates;
 };
 
 } // namespace buckthorngrade
--- a/src/steering/cold_gate.cc
+++ b/src/steering/cold_gate.cc
@@ -43,6 +43,11 @@
     return m_sent.size() + m_reserved < share;
 }
 
+bool cold_gate::isIdle(steady_time now)
+{
+    return isOpen(now, 1);
+}
+
 bool cold_gate::tryReserve(steady_time now, std::uint32_t share)
 {
     if (!isOpen(now, share))
--- a/src/steering/cold_gate.h
+++ b/src/steering/cold_gate.h
@@ -33,6 +33,8 @@
     // Reserves a place for a request if fewer than `share` count.
     bool tryReserve(steady_time now, std::uint32_t share);
     bool isOpen(steady_time now, std::uint32_t share);
+    // No request counts.
+    bool isIdle(steady_time now);
     // A request with a place was sent, or given up before that.
     void recordSent(steady_time now);
     void release();
