Take an upstream for cold when its connections show a restart

What callers saw: a cold upstream that gets the load of a warm one (FAILBACK).

Cause: only the list and evacuations made an upstream cold.

Change: restart_watch. A connection that ends or can't be made raises the suspicion of a restart, and the upstream gets a cold one's rate. A response on a connection from before the loss ends it, because the process behind that one lives on, so upstreams that break off answers and connections that the network resets cost little. Otherwise it ends a cold period after the first response, or after 8 s without any.

Ruled out: waiting for the list to show the process again. It is as slow as the cold period is long, and a control group without a leader would keep upstreams cold.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -355,6 +355,8 @@
     if (status == misdirected) {
         const std::string *other = response.head.find(m_owner.m_protocol.upstreamId);
         upstream.isReplaced = other == nullptr || *other != upstream.listed.id;
+    } else {
+        upstream.restarts.recordResponse(m_client->connectedAt(), now);
     }
     releaseUpstream();
     if (m_isFinished) {
@@ -390,6 +392,10 @@
     const steady_time now = m_owner.m_loop.now();
     const bool arrived
         = failure != call_failure::not_connected && failure != call_failure::not_sent;
+    if (failure == call_failure::not_connected)
+        m_owner.m_upstreams.recordLoss(*m_upstream, now);
+    else if (failure != call_failure::malformed && failure != call_failure::too_large)
+        m_owner.m_upstreams.recordLoss(*m_upstream, m_client->heardAt());
     if (failure == call_failure::not_connected)
         m_upstream->recordUnreachable(now);
     else if (arrived)
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -238,9 +238,11 @@
     if (usable.empty())
         return {.upstream = nullptr, .reason = "no usable upstream"};
     const bool mayUseShares = m_peers.mayUseShares(boot_clock::now());
+    const routed_service *routed = m_routes ? m_routes->findService(service) : nullptr;
+    const auto coldPeriod = routed == nullptr ? std::chrono::milliseconds(0) : routed->coldPeriod;
     std::map<const upstream_state *, std::uint32_t> coldShares;
     std::erase_if(usable, [&](upstream_state *upstream) {
-        if (!upstream->isCold(now))
+        if (!upstream->isCold(now, coldPeriod))
             return false;
         const std::uint32_t share = mayUseShares
             ? coldShare(m_peers.peers(), m_settings.name, upstream->listed.id, upstream->region,
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -195,10 +195,10 @@
     const steady_time now = m_loop.now();
     if (until <= upstream.coldUntil)
         return;
-    const bool wasCold = upstream.isCold(now);
+    const bool wasCold = now < upstream.coldUntil;
     upstream.coldUntil = until;
     upstream.coldReason = reason;
-    if (!wasCold && upstream.isCold(now))
+    if (!wasCold && now < until)
         m_events.write(event_id::upstream_cold,
                        {{"upstream", upstream.listed.id},
                         {"reason", reason},
@@ -239,7 +239,7 @@
         if (announced && *announced > idleMargin)
             limit = std::min(limit, *announced - idleMargin);
         if (first.client->isReusable() && m_loop.now() - first.since <= limit) {
-            first.client->onIdleClosed = [] {};
+            first.client->onIdleClosed = [](bool) {};
             return std::move(first.client);
         }
         // The callback that reported the end may still be on the stack.
@@ -254,7 +254,29 @@
         m_loop.post([closed = std::shared_ptr<http_client>(std::move(client))] {});
         return;
     }
-    upstream->idle.push_front({std::move(client), m_loop.now()});
+    const steady_time since = m_loop.now();
+    client->onIdleClosed
+        = [this, weak = std::weak_ptr(upstream), since, idle = client.get()](bool isByServer) {
+              const upstream_pointer state = weak.lock();
+              const auto usual = std::min(longestIdle, idle->announcedIdle().value_or(longestIdle));
+              if (isByServer && state && m_loop.now() - since < usual - idleMargin)
+                  recordLoss(*state, idle->heardAt());
+          };
+    upstream->idle.push_front({std::move(client), since});
+}
+
+void upstream_table::recordLoss(upstream_state &upstream, steady_time aliveAt)
+{
+    const steady_time now = m_loop.now();
+    const bool wasSuspected = upstream.restarts.isSuspected(now, restart_watch::silence);
+    upstream.restarts.recordLoss(aliveAt, now);
+    if (wasSuspected || now < upstream.coldUntil)
+        return;
+    upstream.coldReason = "connection lost";
+    m_events.write(event_id::upstream_cold,
+                   {{"upstream", upstream.listed.id},
+                    {"reason", upstream.coldReason},
+                    {"started_ms", upstream.listed.startedMs}});
 }
 
 void upstream_table::closeIdle()
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -5,6 +5,7 @@
 #include "model/upstream_listing.h"
 #include "net/http_client.h"
 #include "steering/cold_gate.h"
+#include "steering/restart_watch.h"
 
 #include <chrono>
 #include <cstdint>
@@ -29,6 +30,7 @@
     steady_time coldUntil = steady_time::min();
     const char *coldReason = ""; // why it counts, or counted, as cold
     std::shared_ptr<cold_gate> coldGate;
+    restart_watch restarts;
     bool isReplaced = false; // another upstream has answered at its address
     std::uint32_t inFlight = 0; // requests of this instance
 
@@ -54,7 +56,11 @@
     };
     std::list<idle_connection> idle; // used last first
 
-    bool isCold(steady_time now) const { return now < coldUntil; }
+    // `coldPeriod`: of its service.
+    bool isCold(steady_time now, std::chrono::milliseconds coldPeriod) const
+    {
+        return now < coldUntil || restarts.isSuspected(now, coldPeriod);
+    }
     // Requests that it runs or queues, estimated from its last report and the own ones.
     double estimatedLoad(steady_time now) const;
     double estimatedFailureShare(steady_time now) const;
@@ -101,6 +107,8 @@
     std::unique_ptr<http_client> takeIdle(upstream_state &upstream,
                                           std::chrono::milliseconds maxIdle);
     void keepIdle(const upstream_pointer &upstream, std::unique_ptr<http_client> client);
+    // A connection to the upstream ended, or could not be made; its process was alive at `aliveAt`.
+    void recordLoss(upstream_state &upstream, steady_time aliveAt);
 
 private:
     void extendCold(upstream_state &upstream, steady_time until, const char *reason);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -34,7 +34,10 @@
     , m_socket(loop, to)
 {
     stream_socket::handlers handlers;
-    handlers.onConnected = [this] { tellSent(); };
+    handlers.onConnected = [this] {
+        m_connectedAt = m_heardAt = m_loop.now();
+        tellSent();
+    };
     handlers.onSent = [this] { tellSent(); };
     handlers.onInput = [this] { readInput(); };
     handlers.onClosed = [this](close_reason reason) { handleClosed(reason); };
@@ -83,11 +86,12 @@
 
 void http_client::readInput()
 {
+    m_heardAt = m_loop.now();
     if (!m_call) {
         // Bytes without a call belong to nobody.
         m_isReusable = false;
         m_socket.close();
-        onIdleClosed();
+        onIdleClosed(false);
         return;
     }
     try {
@@ -165,7 +169,7 @@
 {
     if (!m_call) {
         m_isReusable = false;
-        onIdleClosed();
+        onIdleClosed(true);
         return;
     }
     if (m_response && !m_isSkipping && reason == close_reason::ended
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -69,8 +69,12 @@
     bool hasSent() const { return m_socket.sentBytes() > m_sentBefore; }
     // When the server will close the idle connection, as far as it has said so.
     std::optional<std::chrono::milliseconds> announcedIdle() const { return m_announcedIdle; }
-    // Called when the server closes the idle connection or sends something on it.
-    std::function<void()> onIdleClosed = [] {};
+    // When the connection was made, and when the server last sent something on it.
+    steady_time connectedAt() const { return m_connectedAt; }
+    steady_time heardAt() const { return m_heardAt; }
+    // Called when the idle connection ends: closed by the server, or here because the server sent
+    // something on it.
+    std::function<void(bool isByServer)> onIdleClosed = [](bool) {};
 
 private:
     void tellSent();
@@ -88,6 +92,8 @@
     std::optional<body_decoder> m_decoder;
     bool m_isSkipping = false; // the response being read belongs to an earlier call
     std::uint64_t m_sentBefore = 0;
+    steady_time m_connectedAt;
+    steady_time m_heardAt;
     bool m_isWhole = true; // the current call's request was handed over whole
     bool m_isReusable = true;
     std::optional<std::chrono::milliseconds> m_announcedIdle;
