Give the boot clock a header of its own

Nearly all sources include base/clock.h, and only the code that measures the age of what others told needs the boot clock; a change of it then checks few files again.

--- a/src/base/clock.cc
+++ b/src/base/boot_clock.cc
@@ -1,4 +1,4 @@
-#include "base/clock.h"
+#include "base/boot_clock.h"
 
 #include <ctime>
 
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -7,20 +7,6 @@
 using steady_time = std::chrono::steady_clock::time_point;
 using wall_time = std::chrono::system_clock::time_point;
 
-// Monotonic like the steady clock, but it goes on while the machine is suspended. For how old
-// something is that others told.
-struct boot_clock
-{
-    using duration = std::chrono::nanoseconds;
-    using rep = duration::rep;
-    using period = duration::period;
-    using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
-
-    static time_point now() noexcept;
-};
-using boot_time = boot_clock::time_point;
-
 // Source of time, so that tests can set it. Implementations are thread-safe.
 class clock_source
 {
--- a/src/steering/peer_view.h
+++ b/src/steering/peer_view.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/clock.h"
+#include "base/boot_clock.h"
 
 #include <chrono>
 #include <map>
