Take upstreams for cold when an evacuation may have been missed

What callers saw: a cold upstream that gets the load of a warm one (FAILBACK).

Cause: upstreams are cold after the evacuation of their failure domain. An entry instance took those domains for taken back that it had seen evacuated. One that was cut off or frozen during the whole evacuation saw only a newer revision, and used the upstreams as warm until the list showed their cold period.

Change: evacuation_follower remembers when a control instance with a leader answered last, by a clock that goes on while the machine is suspended. A newer revision after a gap of more than 2 s makes all upstreams cold for their service's period.

Ruled out: marking after each gap; while the revision stands, nothing was missed, and an outage of control alone must not slow down all entry instances.

--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -99,9 +99,9 @@
     m_routes = std::move(routes);
 }
 
-void carrier::setEvacuated(std::set<std::string> domains)
+void carrier::setEvacuated(std::set<std::string> domains, bool mayHaveMissed)
 {
-    m_upstreams.setEvacuated(std::move(domains), m_routes.get());
+    m_upstreams.setEvacuated(std::move(domains), mayHaveMissed, m_routes.get());
 }
 
 void carrier::setUpstreams(const upstream_listing &listing)
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -44,7 +44,8 @@
     void handle(const exchange_pointer &exchange);
 
     void setRouting(std::shared_ptr<const route_table> routes);
-    void setEvacuated(std::set<std::string> domains);
+    // `mayHaveMissed`: other failure domains may have been evacuated and taken back unseen.
+    void setEvacuated(std::set<std::string> domains, bool mayHaveMissed);
     void setUpstreams(const upstream_listing &listing);
     // The entry instances that a control instance names.
     void setInstances(const std::vector<peer_instance> &instances);
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -86,7 +86,7 @@
     result.set_period_ms(m_schedule.period().count());
     result.set_leaving(m_isStopping);
     result.set_routing_version(m_routingVersion);
-    result.set_evacuation_revision(m_evacuationRevision);
+    result.set_evacuation_revision(m_evacuations.revision());
     m_listing.describe(m_loop.now(), result);
     for (wire::region_load &load : m_carrier.ownLoads())
         *result.add_loads() = std::move(load);
@@ -171,12 +171,14 @@
 
 void entry_node::applyEvacuations(const wire::node_view &view)
 {
-    if (view.evacuation_revision() <= m_evacuationRevision)
+    auto change = m_evacuations.apply(view, boot_clock::now());
+    if (!change)
         return;
-    m_evacuationRevision = view.evacuation_revision();
     m_events.write(event_id::evacuations_applied,
-                   {{"revision", m_evacuationRevision}, {"domains", view.evacuated_size()}});
-    m_carrier.setEvacuated({view.evacuated().begin(), view.evacuated().end()});
+                   {{"revision", m_evacuations.revision()},
+                    {"domains", change->domains.size()},
+                    {"may_have_missed", change->mayHaveMissed}});
+    m_carrier.setEvacuated(std::move(change->domains), change->mayHaveMissed);
 }
 
 void entry_node::updateReadiness()
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -2,6 +2,7 @@
 
 #include "carrier/carrier.h"
 #include "carrier/control_client.h"
+#include "carrier/evacuation_follower.h"
 #include "carrier/listing_follower.h"
 #include "carrier/poll_schedule.h"
 #include "model/node_settings.h"
@@ -58,7 +59,7 @@
     std::uint64_t m_incarnation;
     poll_schedule m_schedule;
     std::uint64_t m_routingVersion = 0;
-    std::uint64_t m_evacuationRevision = 0;
+    evacuation_follower m_evacuations;
     listing_follower m_listing;
     bool m_isReady = false;
     bool m_isStopping = false;
--- /dev/null
+++ b/src/carrier/evacuation_follower.cc
@@ -0,0 +1,19 @@
+#include "carrier/evacuation_follower.h"
+
+namespace buckthorngrade {
+
+std::optional<evacuation_follower::change> evacuation_follower::apply(const wire::node_view &view,
+                                                                      boot_time now)
+{
+    const bool isAfterGap = m_heardAt && now - *m_heardAt > longestGap;
+    // Without a leader a control instance may itself have missed evacuations.
+    if (view.has_leader())
+        m_heardAt = now;
+    if (view.evacuation_revision() <= m_revision)
+        return std::nullopt;
+    const bool isFirst = m_revision == 0;
+    m_revision = view.evacuation_revision();
+    return change{{view.evacuated().begin(), view.evacuated().end()}, isAfterGap && !isFirst};
+}
+
+} // namespace buckthorngrade
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -175,17 +175,20 @@
                      })}});
 }
 
-void upstream_table::setEvacuated(std::set<std::string> domains, const route_table *routes)
+void upstream_table::setEvacuated(std::set<std::string> domains, bool mayHaveMissed,
+                                  const route_table *routes)
 {
     const steady_time now = m_loop.now();
     for (const auto &[id, state] : m_upstreams) {
         const std::string &domain = state->listed.failureDomain;
-        if (!m_evacuated.contains(domain) || domains.contains(domain))
+        const bool hasEnded = mayHaveMissed || m_evacuated.contains(domain);
+        if (!hasEnded || domains.contains(domain))
             continue;
         const routed_service *service
             = routes == nullptr ? nullptr : routes->findService(state->listed.service);
         if (service != nullptr)
-            extendCold(*state, now + service->coldPeriod, "evacuation ended");
+            extendCold(*state, now + service->coldPeriod,
+                       mayHaveMissed ? "an evacuation may have ended" : "evacuation ended");
     }
     m_evacuated = std::move(domains);
 }
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -88,8 +88,9 @@
     // way go on.
     void apply(const upstream_listing &listing, const route_table *routes);
     // Upstreams of these failure domains get nothing. Those of a domain that is taken back count as
-    // cold for their service's period, because they may have been replaced meanwhile.
-    void setEvacuated(std::set<std::string> domains, const route_table *routes);
+    // cold for their service's period, because they may have been replaced meanwhile; all others,
+    // too, if evacuations of theirs may have been missed.
+    void setEvacuated(std::set<std::string> domains, bool mayHaveMissed, const route_table *routes);
 
     // Those of the service that may get requests, ordered by id.
     std::vector<upstream_state *> usable(const std::string &service, steady_time now) const;
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -238,7 +238,7 @@
         for (int i = 0; i < 10; ++i)
             CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
         CPPUNIT_ASSERT(system.upstreams[0]->requests().empty());
-        system.thread().call([&] { system.get().setEvacuated({"d"}); });
+        system.thread().call([&] { system.get().setEvacuated({"d"}, false); });
         const http_response response = system.send("/safe/x");
         CPPUNIT_ASSERT_EQUAL(503, response.status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, system.arrivals());
--- a/tests/carrier/cold_upstream_test.cc
+++ b/tests/carrier/cold_upstream_test.cc
@@ -1,3 +1,4 @@
+#include "carrier/evacuation_follower.h"
 #include "carrier_fixture.h"
 #include "testing/wait.h"
 
@@ -82,6 +83,8 @@
     CPPUNIT_TEST(requestsAreSpacedWhenTheyAreSent);
     CPPUNIT_TEST(restartUnderTheSameIdMakesCold);
     CPPUNIT_TEST(entryThatComesBackKeepsItsCount);
+    CPPUNIT_TEST(missedEvacuationMakesCold);
+    CPPUNIT_TEST(evacuationsAreMissedInGaps);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +192,41 @@
         }
         CPPUNIT_ASSERT(upstream.mostInASecond() <= coldBound);
     }
+
+    // Guards against the load of a warm upstream after an evacuation that this instance never saw.
+    void missedEvacuationMakesCold()
+    {
+        timed_upstream upstream;
+        carrying system({upstream.script()});
+        serve(system, 5);
+        const std::size_t before = upstream.arrivals();
+        system.thread().call([&] { system.get().setEvacuated({}, true); });
+        serve(system, 40);
+        CPPUNIT_ASSERT(upstream.mostInASecond(before) <= coldBound);
+    }
+
+    void evacuationsAreMissedInGaps()
+    {
+        const boot_time start = boot_clock::now();
+        evacuation_follower follower;
+        wire::node_view view;
+        view.set_has_leader(true);
+        view.set_evacuation_revision(5);
+        CPPUNIT_ASSERT(!follower.apply(view, start)->mayHaveMissed);
+        view.set_evacuation_revision(7);
+        view.add_evacuated("d");
+        const auto seen = follower.apply(view, start + 1s);
+        CPPUNIT_ASSERT(!seen->mayHaveMissed && seen->domains.contains("d"));
+        CPPUNIT_ASSERT(!follower.apply(view, start + 9s));
+        // A control instance that knows no leader shows nothing of what happened meanwhile.
+        view.set_has_leader(false);
+        CPPUNIT_ASSERT(!follower.apply(view, start + 11s));
+        view.set_has_leader(true);
+        view.set_evacuation_revision(8);
+        CPPUNIT_ASSERT(follower.apply(view, start + 12s)->mayHaveMissed);
+        view.set_evacuation_revision(6);
+        CPPUNIT_ASSERT(!follower.apply(view, start + 12s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cold_upstream_test);
