Use the allowance of retries only while its division is certain

What callers saw: nothing yet.

Cause: the allowance of a retry window is divided by the number of entry instances. An instance that had just started, alone in the answers of a control instance that had just started, too, took all of it; one that restarts takes its part again although its earlier process used it within the window; and one that is cut off keeps its part while the others divide it anew.

Evidence: retryAllowanceHoldsWhileInstancesRestartAndAreCutOff, 60 random histories with an allowance of 60.

Change: an instance uses its part once it has been named without a gap for the window, and while an answer that names it is at most 3 s old. Its share of its own requests may always be used.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -435,7 +435,7 @@
         return ++m_unreached < maxUnreached;
     return m_attempts < std::max(1U, m_route->maxAttempts)
         && m_owner.stateOf(m_service).budget.tryTake(m_owner.m_loop.now(),
-                                                     m_owner.m_peers.peers().size());
+                                                     m_owner.allowanceSharers());
 }
 
 void carried_request::repeatOrAnswer(int status, const char *reason, bool arrived)
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -214,6 +214,12 @@
     }
 }
 
+std::size_t carrier::allowanceSharers() const
+{
+    return m_peers.mayUseShares(boot_clock::now(), m_settings.retryWindow) ? m_peers.peers().size()
+                                                                           : 0;
+}
+
 double carrier::coldLimit(const upstream_state &upstream) const
 {
     const routed_service *service
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -94,6 +94,8 @@
     // Own requests that take a slot of the upstream or wait for one, estimated.
     double runningRequests(const upstream_state &upstream) const;
     double coldLimit(const upstream_state &upstream) const;
+    // Entry instances among which the allowance of retries is divided; 0: this one has no part yet.
+    std::size_t allowanceSharers() const;
 
     event_loop &m_loop;
     const node_settings &m_settings;
--- a/src/steering/peer_view.cc
+++ b/src/steering/peer_view.cc
@@ -31,9 +31,9 @@
     return hasChanged;
 }
 
-bool peer_view::mayUseShares(boot_time now) const
+bool peer_view::isSettled(boot_time now, std::chrono::milliseconds time) const
 {
-    return m_isNamed && now - m_namedAt <= validity && now - m_joinedAt >= joinTime;
+    return m_isNamed && now - m_namedAt <= validity && now - m_joinedAt >= time;
 }
 
 std::chrono::milliseconds peer_view::age(boot_time now) const
--- a/src/steering/peer_view.h
+++ b/src/steering/peer_view.h
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -42,11 +43,20 @@
     // All that were named within `memory`, ordered by name.
     const std::vector<peer_instance> &peers() const { return m_peers; }
     // Whether this instance may use its shares of what is divided among the peers.
-    bool mayUseShares(boot_time now) const;
+    bool mayUseShares(boot_time now) const { return isSettled(now, joinTime); }
+    // The same for a bound over a `window` of time: what this instance, or its earlier process,
+    // has used of it without being known is forgotten by then.
+    bool mayUseShares(boot_time now, std::chrono::milliseconds window) const
+    {
+        return isSettled(now, std::max(window, joinTime));
+    }
     // Since an answer named this instance.
     std::chrono::milliseconds age(boot_time now) const;
 
 private:
+    // It has been named without a gap for so long.
+    bool isSettled(boot_time now, std::chrono::milliseconds time) const;
+
     struct record
     {
         std::string region;
--- a/src/steering/retry_budget.cc
+++ b/src/steering/retry_budget.cc
@@ -24,8 +24,7 @@
 bool retry_budget::tryTake(steady_time now, std::size_t instances)
 {
     expire(now);
-    const double own
-        = m_limits.allowance / static_cast<double>(std::max<std::size_t>(instances, 1));
+    const double own = instances == 0 ? 0 : m_limits.allowance / static_cast<double>(instances);
     const double bound = margin * (m_limits.share * static_cast<double>(m_requests.size()) + own);
     if (static_cast<double>(m_repeats.size()) + 1 > bound)
         return false;
--- a/src/steering/retry_budget.h
+++ b/src/steering/retry_budget.h
@@ -30,7 +30,7 @@
 
     void recordRequest(steady_time now);
     // Takes one repeat from the budget if there is room. `instances` is how many entry instances
-    // share the allowance.
+    // share the allowance; 0: this one may use none of it.
     bool tryTake(steady_time now, std::size_t instances);
 
 private:
--- a/tests/carrier/carrier_fixture.h
+++ b/tests/carrier/carrier_fixture.h
@@ -87,7 +87,7 @@
         m_carrier.setRouting(std::make_shared<const route_table>(document));
         // The instance has been among its peers for a while.
         const boot_time now = boot_clock::now();
-        for (auto age = peer_view::joinTime; age.count() > 0; age -= peer_view::validity / 2)
+        for (auto age = m_settings.retryWindow; age.count() > 0; age -= peer_view::validity / 2)
             m_peers.update(m_named, now - age);
         m_carrier.setInstances(m_named);
         m_thread.loop().runEvery(500ms, [this] { m_carrier.setInstances(m_named); });
--- a/tests/control/shared_bounds_history_test.cc
+++ b/tests/control/shared_bounds_history_test.cc
@@ -1,5 +1,6 @@
 #include "control/node_roster.h"
 #include "steering/cold_gate.h"
+#include "steering/retry_budget.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -25,8 +26,24 @@
     return boot_time(time.time_since_epoch());
 }
 
+constexpr auto retryWindow = 10s;
+// No requests are counted, so that only the allowance is used.
+const retry_budget::limits retryLimits{0, 60, retryWindow};
+
+// Largest number of times within any window of `length`.
+std::size_t mostWithin(const std::vector<steady_time> &times, std::chrono::seconds length)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; first < times.size(); ++first) {
+        while (last < times.size() && times[last] - times[first] < length)
+            ++last;
+        most = std::max(most, last - first);
+    }
+    return most;
+}
+
 // Entry instances that learn of each other through control instances, all of which restart and are
-// cut off at random, and one cold upstream that they always want to use.
+// cut off at random. They always want to use one cold upstream and to repeat requests.
 class history
 {
 public:
@@ -39,23 +56,17 @@
         m_controls.resize(3);
     }
 
-    // Largest number of requests in a second, counted over all entry instances.
-    std::size_t mostInASecond(std::chrono::seconds length)
+    void play(std::chrono::seconds length)
     {
         for (steady_time now = start; now < start + length; now += step) {
             disturb(now);
             for (entry &each : m_entries)
                 run(each, now);
         }
-        std::size_t most = 0;
-        for (std::size_t first = 0, last = 0; first < m_sent.size(); ++first) {
-            while (last < m_sent.size() && m_sent[last] - m_sent[first] < 1s)
-                ++last;
-            most = std::max(most, last - first);
-        }
-        return most;
     }
-    std::size_t sent() const { return m_sent.size(); }
+    // Over all entry instances.
+    const std::vector<steady_time> &sentToColdUpstream() const { return m_sent; }
+    const std::vector<steady_time> &repeats() const { return m_repeats; }
 
 private:
     struct entry
@@ -68,6 +79,7 @@
         std::string name;
         peer_view peers;
         cold_gate gate;
+        retry_budget budget{retryLimits};
         std::uint64_t incarnation = 1;
         steady_time upAt = start;
         steady_time reachableAt = start;
@@ -120,6 +132,9 @@
             each.gate.recordSent(now);
             m_sent.push_back(now);
         }
+        const bool mayRepeat = each.peers.mayUseShares(bootTimeOf(now), retryWindow);
+        if (each.budget.tryTake(now, mayRepeat ? each.peers.peers().size() : 0))
+            m_repeats.push_back(now);
     }
 
     // Reports to all control instances; any of them answers with the peers.
@@ -150,6 +165,7 @@
     std::vector<entry> m_entries;
     std::vector<std::unique_ptr<control>> m_controls;
     std::vector<steady_time> m_sent;
+    std::vector<steady_time> m_repeats;
 };
 
 } // namespace
@@ -159,6 +175,7 @@
 {
     CPPUNIT_TEST_SUITE(shared_bounds_history_test);
     CPPUNIT_TEST(coldRateHoldsWhileInstancesRestartAndAreCutOff);
+    CPPUNIT_TEST(retryAllowanceHoldsWhileInstancesRestartAndAreCutOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,13 +187,30 @@
             const std::size_t entries = 1 + seed * 7 % 30;
             const double bound = 6 + static_cast<double>(seed % 16);
             history run(seed, entries, bound);
-            const auto most = static_cast<double>(run.mostInASecond(40s));
+            run.play(40s);
+            const auto most = static_cast<double>(mostWithin(run.sentToColdUpstream(), 1s));
             CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {} of {}", seed, most, bound),
                                    most <= bound);
-            sent += run.sent();
+            sent += run.sentToColdUpstream().size();
         }
         CPPUNIT_ASSERT(sent > 10'000);
     }
+
+    // Guards against an allowance that an instance takes again after its restart, or as one of a
+    // few that a control instance names.
+    void retryAllowanceHoldsWhileInstancesRestartAndAreCutOff()
+    {
+        std::size_t repeats = 0;
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            history run(seed, 1 + seed * 7 % 30, 10);
+            run.play(60s);
+            const std::size_t most = mostWithin(run.repeats(), retryWindow);
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {}", seed, most),
+                                   static_cast<double>(most) <= retryLimits.allowance);
+            repeats += run.repeats().size();
+        }
+        CPPUNIT_ASSERT(repeats > 500);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shared_bounds_history_test);
