Become ready only with a list that shows a moment after the start

What callers saw: a cold upstream that gets the load of a warm one (FAILBACK).

Cause: an entry instance takes the upstreams of its first list for warm unless the list says otherwise. That list is up to 2 s old, so upstreams that restarted shortly before, for example in the same loss of power, counted as warm at every instance that started with them.

Change: readiness_rule. An entry instance becomes ready once the list was read at least its lag after the first answer of a control instance, or 4 s after that answer if the list can't be read. The majority of control instances is needed as before. The lag comes from the settings.

Ruled out: taking all upstreams for cold until then; an instance that is ready and refuses most requests serves callers worse than one that is ready a second later.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -44,6 +44,7 @@
     , m_control(
           loop, m_settings.replicaPort(), events,
           [this](const std::string &host, const wire::node_view &view) { applyView(host, view); })
+    , m_readiness(m_settings.listLag)
     , m_incarnation(randomIncarnation())
     , m_schedule(m_incarnation)
 {
@@ -118,7 +119,7 @@
 
 void entry_node::applyView(const std::string &host, const wire::node_view &view)
 {
-    m_heard.insert(host);
+    m_readiness.recordAnswer(host, m_loop.now());
     if (view.voters_size() > 0) {
         m_voterHosts.clear();
         std::ranges::transform(view.voters(), std::inserter(m_voterHosts, m_voterHosts.end()),
@@ -185,14 +186,14 @@
 {
     if (m_isReady)
         return;
-    const auto heard = static_cast<std::size_t>(std::ranges::count_if(
-        m_voterHosts, [this](const std::string &host) { return m_heard.contains(host); }));
-    if (heard * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listing.isEmpty())
+    if (!m_readiness.isReady(m_voterHosts, m_routingVersion != 0, m_listing.readAt(), m_loop.now()))
         return;
     m_isReady = true;
     m_schedule.setReady();
     m_events.write(event_id::readiness_changed,
-                   {{"ready", true}, {"version", m_routingVersion}, {"control", heard}});
+                   {{"ready", true},
+                    {"version", m_routingVersion},
+                    {"control", m_readiness.answered(m_voterHosts)}});
     m_control.poll(report(), nearestControl());
 }
 
