Read each entry of the platform's list by itself

Cause: a page was parsed as one document. A number that no double holds anywhere in it made the whole page malformed, so the list was not followed any more while that entry stood; deep nesting took about 50 times its bytes of memory, beyond a control instance's limit for a page of 4 MB; a start time beyond 64 bits was converted with undefined behaviour, and port 0 was taken for an address to use.

Change: json_members splits a page into its entries by brackets and strings alone, in linear time. Entries nested deeper than 16 levels are not read; an entry that can't be read is left out by itself. A start must be a whole number of 64 bits, and port 0 is no port. listing_entries_left_out says when the number of such entries changes.

Ruled out: recursion; the library parses and destroys without it. Ports above 65535 and entries of wrong types were left out before, too.

--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -3,6 +3,7 @@
 #include "base/utf8.h"
 #include "control/control_state.h"
 #include "net/http_client.h"
+#include "platform/json_members.h"
 #include "platform/json_values.h"
 #include "platform/wire_names.h"
 
@@ -25,30 +26,37 @@
 // Stands for bytes that are not ASCII; entries that contain it are left out.
 constexpr char unreadable = '\x7f';
 
-std::optional<listed_upstream> parseEntry(const std::string &id, const json &entry)
+// Levels of brackets in an entry; the deepest of the documented ones has one.
+constexpr std::size_t deepestEntry = 16;
+
+std::optional<listed_upstream> parseEntry(const json_member &member)
 {
+    if (member.depth > deepestEntry)
+        return std::nullopt;
+    const json entry = json::parse(member.value, nullptr, false);
     if (!entry.is_object())
         return std::nullopt;
     try {
         listed_upstream result;
-        result.id = id;
+        result.id = member.name;
         result.service = textField(entry, "service", "");
         result.address = textField(entry, "address", "");
         result.failureDomain = textField(entry, "zone", "");
         const std::string state = textField(entry, "state", "");
         const double slots = numberField(entry, "slots", 0);
         result.coldFor = timeField(entry, "cold_remaining", std::chrono::milliseconds(0));
-        result.startedMs = static_cast<std::int64_t>(numberField(entry, "born", 0));
+        result.startedMs = wholeField(entry, "born", 0);
         result.isDraining = state == "draining";
         constexpr double mostSlots = 1e6;
         const bool isReadable = std::ranges::all_of(
-            std::initializer_list<std::string_view>{id, result.service, result.address,
+            std::initializer_list<std::string_view>{result.id, result.service, result.address,
                                                     result.failureDomain},
             [](std::string_view text) { return !text.empty() && isVisibleAscii(text); });
         if (!isReadable || (state != "ready" && state != "draining") || slots < 1
             || slots > mostSlots)
             return std::nullopt;
-        socket_address::parse(result.address);
+        if (socket_address::parse(result.address).port == 0)
+            return std::nullopt;
         result.slots = static_cast<std::uint32_t>(slots);
         return result;
     } catch (const settings_error &) {
@@ -73,12 +81,13 @@
     // an empty text. All references must outlive this.
     part_reader(event_loop &loop, const socket_address &address, const clock_source &clock,
                 std::string domain, const listing_source::page_handler &onPage,
-                std::function<void(const std::string &)> onEnd)
+                std::size_t &leftOut, std::function<void(const std::string &)> onEnd)
         : m_loop(loop)
         , m_address(address)
         , m_clock(clock)
         , m_domain(std::move(domain))
         , m_onPage(onPage)
+        , m_leftOut(leftOut)
         , m_onEnd(std::move(onEnd))
     {
         askForPage();
@@ -120,6 +129,7 @@
             return end(fmt::format("status {}", response.head.status));
         try {
             instance_page page = parseInstancePage(response.body);
+            m_leftOut += page.leftOut;
             m_onPage({m_askedAt, std::move(page.upstreams)});
             m_token = page.next;
         } catch (const control_error &failure) {
@@ -144,6 +154,7 @@
     const clock_source &m_clock;
     const std::string m_domain;
     const listing_source::page_handler &m_onPage;
+    std::size_t &m_leftOut; // entries of all parts
     const std::function<void(const std::string &)> m_onEnd;
     std::unique_ptr<http_client> m_client;
     event_loop::timer_id m_timer = 0;
@@ -158,27 +169,42 @@
 {
     std::ranges::replace_if(
         text, [](char c) { return static_cast<unsigned char>(c) >= 0x80; }, unreadable);
-    const json page = json::parse(text, nullptr, false);
-    if (!page.is_object() || !page.contains("instances") || !page.at("instances").is_object())
+    const auto page = splitJsonObject(text);
+    if (!page)
+        throw control_error("the list of instances is malformed");
+    const auto list = std::ranges::find(*page, "instances", &json_member::name);
+    const auto entries = list == page->end() ? std::nullopt : splitJsonObject(list->value);
+    if (!entries)
         throw control_error("the list of instances is malformed");
     instance_page result;
-    for (const auto &[id, entry] : page.at("instances").items())
-        if (auto upstream = parseEntry(id, entry))
+    for (const json_member &entry : *entries) {
+        if (auto upstream = parseEntry(entry))
             result.upstreams.push_back(std::move(*upstream));
-    if (const auto next = page.find("next_token"); next != page.end() && next->is_string())
-        result.next = next->get<std::string>();
+        else
+            ++result.leftOut;
+    }
+    std::ranges::sort(result.upstreams, {}, &listed_upstream::id);
+    const auto token = std::ranges::find(*page, "next_token", &json_member::name);
+    if (token != page->end() && token->depth == 0) {
+        const json next = json::parse(token->value, nullptr, false);
+        if (next.is_string())
+            result.next = next.get<std::string>();
+    }
     return result;
 }
 
-instance_list::instance_list(const std::string &address, const clock_source &clock)
+instance_list::instance_list(const std::string &address, const clock_source &clock,
+                             event_log &events)
     : m_address(socket_address::parse(address))
     , m_clock(clock)
+    , m_events(events)
 { }
 
 void instance_list::read(const std::vector<std::string> &domains, const page_handler &onPage)
 {
     event_loop loop;
     std::size_t left = std::max<std::size_t>(domains.size(), 1);
+    std::size_t leftOut = 0;
     std::string failure;
     const auto onEnd = [&](const std::string &why) {
         if (!why.empty())
@@ -189,8 +215,8 @@
     try {
         std::vector<std::unique_ptr<part_reader>> parts;
         const auto addPart = [&](const std::string &domain) {
-            parts.push_back(
-                std::make_unique<part_reader>(loop, m_address, m_clock, domain, onPage, onEnd));
+            parts.push_back(std::make_unique<part_reader>(loop, m_address, m_clock, domain, onPage,
+                                                          leftOut, onEnd));
         };
         if (domains.empty())
             addPart("");
@@ -202,6 +228,10 @@
     }
     if (!failure.empty())
         throw control_error(fmt::format("the list of instances can't be read: {}", failure));
+    if (leftOut != m_leftOut)
+        m_events.write(event_id::listing_entries_left_out,
+                       {{"before", m_leftOut}, {"entries", leftOut}});
+    m_leftOut = leftOut;
 }
 
 } // namespace buckthorngrade
--- a/src/platform/json_values.cc
+++ b/src/platform/json_values.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -63,6 +64,19 @@
     return field->get<double>();
 }
 
+std::int64_t wholeField(const nlohmann::json &object, const char *name, std::int64_t fallback)
+{
+    const nlohmann::json *field = findField(object, name);
+    if (field == nullptr)
+        return fallback;
+    // Larger ones are read as numbers without sign.
+    const bool isTooLarge = field->is_number_unsigned()
+        && field->get<std::uint64_t>() > std::numeric_limits<std::int64_t>::max();
+    if (!field->is_number_integer() || isTooLarge)
+        rejectType(name, "a whole number");
+    return field->get<std::int64_t>();
+}
+
 std::string textField(const nlohmann::json &object, const char *name, const std::string &fallback)
 {
     const nlohmann::json *field = findField(object, name);
--- a/src/platform/json_values.h
+++ b/src/platform/json_values.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,8 @@
 std::chrono::milliseconds timeField(const nlohmann::json &object, const char *name,
                                     std::chrono::milliseconds fallback);
 double numberField(const nlohmann::json &object, const char *name, double fallback);
+// A whole number of 64 bits with sign; anything else throws.
+std::int64_t wholeField(const nlohmann::json &object, const char *name, std::int64_t fallback);
 std::string textField(const nlohmann::json &object, const char *name, const std::string &fallback);
 bool flagField(const nlohmann::json &object, const char *name, bool fallback);
 
--- a/src/platform/platform_roles.cc
+++ b/src/platform/platform_roles.cc
@@ -89,7 +89,7 @@
     metric_registry metrics;
     const platform_routing_codec codec;
     event_loop loop;
-    instance_list list(settings.listAddress, clock);
+    instance_list list(settings.listAddress, clock, events);
     control_node node(settings, codec, list, clock, events, metrics, [&](const std::string &what) {
         events.write(event_id::replica_stopped, {{"reason", what}});
         // The data folder is read again by the next process.
--- a/tests/platform/instance_list_test.cc
+++ b/tests/platform/instance_list_test.cc
@@ -92,7 +92,7 @@
     }
     void read(const std::vector<std::string> &domains)
     {
-        instance_list list(m_server->address(), m_clock);
+        instance_list list(m_server->address(), m_clock, m_events);
         list.read(domains, [this](const upstream_listing &page) {
             for (const listed_upstream &upstream : page.upstreams)
                 m_ids.push_back(upstream.id);
@@ -100,6 +100,7 @@
     }
 
     system_clock_source m_clock;
+    null_event_log m_events;
     loop_thread m_loop;
     std::unique_ptr<scripted_server> m_server;
     std::vector<std::string> m_ids;
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -6,6 +6,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/resource.h>
+
+#include <fmt/format.h>
+
+#include <map>
 #include <string>
 
 using namespace buckthorngrade;
@@ -47,6 +52,8 @@
     CPPUNIT_TEST(rejectsInvalidRouting);
     CPPUNIT_TEST(everyCutOfADocumentIsRejected);
     CPPUNIT_TEST(leavesOutForeignInstances);
+    CPPUNIT_TEST(oddEntryLeavesTheOthersInUse);
+    CPPUNIT_TEST(deepEntryNeedsNoMemory);
     CPPUNIT_TEST(readsSettings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +113,54 @@
             CPPUNIT_ASSERT_THROW(checkText(document.substr(0, size)), settings_error);
     }
 
+    // Guards against a list that can't be read any more because of one entry of another writer.
+    void oddEntryLeavesTheOthersInUse()
+    {
+        const auto entryWith = [](const std::string &field, const std::string &value) {
+            std::map<std::string, std::string> fields
+                = {{"service", R"("s")"}, {"address", R"("10.0.0.1:80")"}, {"zone", R"("z")"},
+                   {"slots", "4"},        {"state", R"("ready")"},         {"born", "17"}};
+            fields[field] = value;
+            std::string text;
+            for (const auto &[name, value_text] : fields)
+                text += fmt::format("{}\"{}\":{}", text.empty() ? "{" : ",", name, value_text);
+            return text + "}";
+        };
+        const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+        for (const std::string &odd :
+             {entryWith("slots", "1e999"), entryWith("born", "1e999"), entryWith("born", "-1e300"),
+              entryWith("born", "1e18"), entryWith("born", "99999999999999999999999"),
+              entryWith("born", "1.5"), entryWith("slots", deep), entryWith("extra", deep), deep,
+              entryWith("extra", "1e999"), entryWith("address", R"("10.0.0.1:70000")"),
+              entryWith("address", R"("10.0.0.1:0")"), entryWith("address", R"("10.0.0.1:-1")"),
+              entryWith("address", R"("10.0.0.1:99999999999999999999")"),
+              entryWith("cold_remaining", R"("1e999s")"), std::string("[}")}) {
+            const std::string text = fmt::format(R"({{"instances":{{"a":{},"odd":{},"z":{}}},)"
+                                                 R"("next_token":"p"}})",
+                                                 entryWith("x", "1"), odd, entryWith("x", "1"));
+            const instance_page read = parseInstancePage(text);
+            const std::string what = odd.substr(0, 200);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, read.upstreams.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, read.leftOut);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string("p"), read.next);
+        }
+    }
+
+    // Guards against a process that is ended for the memory that nesting takes: a level takes 50
+    // times as much as its two bytes.
+    void deepEntryNeedsNoMemory()
+    {
+        const std::string text = R"({"instances":{"odd":)" + std::string(1'500'000, '[')
+            + std::string(1'500'000, ']') + "}}";
+        rusage before{};
+        rusage after{};
+        ::getrusage(RUSAGE_SELF, &before);
+        CPPUNIT_ASSERT(parseInstancePage(text).upstreams.empty());
+        ::getrusage(RUSAGE_SELF, &after);
+        constexpr long mostKb = 20 * 1024;
+        CPPUNIT_ASSERT(after.ru_maxrss - before.ru_maxrss < mostKb);
+    }
+
     // Guards against one bad entry that makes the others unusable, or is used itself.
     void leavesOutForeignInstances()
     {
