Be ready at once, and send one request at a time until the list is recent

Taking requests only with a recent list delayed the readiness of each restarted entry instance by about a second.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -138,6 +138,7 @@
         m_schedule.setInstances(m_peers.peers().size());
         m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
     }
+    m_carrier.setKnowsWarm(m_readiness.knowsWarmUpstreams(m_listing.readAt(), m_loop.now()));
     updateReadiness();
 }
 
@@ -186,7 +187,7 @@
 {
     if (m_isReady)
         return;
-    if (!m_readiness.isReady(m_voterHosts, m_routingVersion != 0, m_listing.readAt(), m_loop.now()))
+    if (!m_readiness.isReady(m_voterHosts, m_routingVersion != 0, m_listing.readAt()))
         return;
     m_isReady = true;
     m_schedule.setReady();
--- a/src/carrier/readiness_rule.cc
+++ b/src/carrier/readiness_rule.cc
@@ -22,10 +22,15 @@
 }
 
 bool readiness_rule::isReady(const std::set<std::string> &voterHosts, bool hasRouting,
-                             std::optional<steady_time> listReadAt, steady_time now) const
+                             std::optional<steady_time> listReadAt) const
 {
-    if (answered(voterHosts) * 2 <= voterHosts.size() || !hasRouting || !listReadAt
-        || !m_firstAnswerAt)
+    return answered(voterHosts) * 2 > voterHosts.size() && hasRouting && listReadAt;
+}
+
+bool readiness_rule::knowsWarmUpstreams(std::optional<steady_time> listReadAt,
+                                        steady_time now) const
+{
+    if (!listReadAt || !m_firstAnswerAt)
         return false;
     return *listReadAt >= *m_firstAnswerAt + m_listLag || now >= *m_firstAnswerAt + longestWait;
 }
--- a/src/carrier/readiness_rule.h
+++ b/src/carrier/readiness_rule.h
@@ -9,14 +9,15 @@
 
 namespace buckthorngrade {
 
-// Decides when an entry instance that has just started knows enough to take callers' requests.
+// Decides what an entry instance that has just started may do with what it knows.
 //
-// A majority of the control instances must have answered, because a single one may have been cut
-// off and know only an old routing document. The list of upstreams must show a moment after the
-// first answer: an older one lacks the upstreams that restarted or were taken back from an
-// evacuation shortly before, and the requests of several entry instances that start together would
-// flood them. Where the list can't be read, `longestWait` after the first answer is enough: what
-// was cold then is warm.
+// It is ready for callers' requests once a majority of the control instances has answered, because
+// a single one may have been cut off and know only an old routing document.
+//
+// It takes upstreams for warm only once the list shows a moment after the first answer. An older
+// list lacks the upstreams that restarted or were taken back from an evacuation shortly before, and
+// several entry instances that start together would flood them. Where the list can't be read,
+// `longestWait` after the first answer is enough: what was cold then is warm.
 class readiness_rule
 {
 public:
@@ -29,7 +30,8 @@
     void recordAnswer(const std::string &host, steady_time now);
     // `listReadAt`: nothing without a list.
     bool isReady(const std::set<std::string> &voterHosts, bool hasRouting,
-                 std::optional<steady_time> listReadAt, steady_time now) const;
+                 std::optional<steady_time> listReadAt) const;
+    bool knowsWarmUpstreams(std::optional<steady_time> listReadAt, steady_time now) const;
     std::size_t answered(const std::set<std::string> &hosts) const;
 
 private:
