Trust a refusal on a kept connection only with the request's id

What callers saw: from other operators' reports, 'not run' for requests that an upstream had run or was running, or such a request ran at a second upstream, because a faulty upstream wrote an earlier refusal once more on a kept connection.

Here, a refusal with the id of the earlier request is skipped, and the connection is not used again: earlierRefusalOnceMoreIsSkipped passes on the code before. Two gaps remained, and their tests failed before: a refusal without any id was taken for the answer on a connection that had carried other requests (503 for a request that ran), and a request without an id took kept connections, on which no answer can be told from an earlier one.

Change: on a connection that carried other requests a refusal must have the request's id, otherwise the outcome is unknown. A request without an id gets a connection of its own.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -223,7 +223,9 @@
     m_tried.insert(m_upstream->listed.id);
     ++m_upstream->inFlight;
     const bool isIdempotent = m_route->kind == request_kind::idempotent;
-    m_client = m_owner.m_upstreams.takeIdle(*m_upstream, isIdempotent ? safeIdle : unsafeIdle);
+    // Without an id, its answer can't be told from one that is left over on the connection.
+    if (!m_id.empty())
+        m_client = m_owner.m_upstreams.takeIdle(*m_upstream, isIdempotent ? safeIdle : unsafeIdle);
     m_isReused = m_client != nullptr;
     if (!m_client) {
         try {
@@ -324,6 +326,9 @@
 
 bool carried_request::isNotRun(const client_response &response) const
 {
+    // On a connection that carried other requests, it may be an earlier refusal once more.
+    if (m_isReused && response.head.find(m_owner.m_protocol.requestId) == nullptr)
+        return false;
     return response.head.status == misdirected
         || response.head.find(m_owner.m_protocol.notRun) != nullptr;
 }
@@ -492,7 +497,7 @@
         // The connections of an upstream that is gone end with it, and this one may be on the
         // stack.
         const bool isListed = m_owner.m_upstreams.find(m_upstream->listed.id) == m_upstream;
-        if (m_client && m_client->isReusable() && isListed)
+        if (m_client && m_client->isReusable() && isListed && !m_id.empty())
             m_owner.m_upstreams.keepIdle(m_upstream, std::move(m_client));
         m_upstream.reset();
     }
--- a/tests/carrier/carrier_fixture.h
+++ b/tests/carrier/carrier_fixture.h
@@ -104,7 +104,9 @@
         http_request request;
         request.method = body.empty() ? "GET" : "POST";
         request.path = path;
-        request.headers = {{protocol.requestId, id}, {protocol.deadlineMs, "30000"}};
+        request.headers = {{protocol.deadlineMs, "30000"}};
+        if (!id.empty())
+            request.headers[protocol.requestId] = id;
         if (!object.empty())
             request.headers["Cookie"] = protocol.affinityCookie + "=" + object;
         request.body = body;
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -47,6 +47,9 @@
     CPPUNIT_TEST(promiseOfAnUpstreamThatMayHaveRunIsNotPassedOn);
     CPPUNIT_TEST(answersOfOtherRequestsAreSkipped);
     CPPUNIT_TEST(extraBytesNeverReachAnotherCaller);
+    CPPUNIT_TEST(earlierRefusalOnceMoreIsSkipped);
+    CPPUNIT_TEST(refusalWithoutIdOnAKeptConnectionPromisesNothing);
+    CPPUNIT_TEST(requestWithoutIdGetsAConnectionOfItsOwn);
     CPPUNIT_TEST(answerWithoutLengthNeedsACleanEnd);
     CPPUNIT_TEST(timeoutIsAnsweredAtOnceAndPromisesNothing);
     CPPUNIT_TEST(leavingCallerEndsIdempotentWork);
@@ -177,6 +180,52 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, system.upstreams[0]->connections());
     }
 
+    // Guards against an earlier refusal, written once more on a kept connection, that is taken for
+    // the answer to a request that runs.
+    void earlierRefusalOnceMoreIsSkipped()
+    {
+        std::string refusal; // used on the loop's thread
+        carrying system({[&](const std::string &request) {
+            if (!refusal.empty())
+                return scripted_answer{refusal + answerOk(request).bytes};
+            refusal = refuse(request).bytes;
+            return scripted_answer{refusal};
+        }});
+        CPPUNIT_ASSERT_EQUAL(503, system.send("/once/x", "id-1", "claim").status);
+        const http_response second = system.send("/once/x", "id-2", "claim");
+        CPPUNIT_ASSERT_EQUAL(200, second.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), second.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, system.upstreams[0]->connections());
+    }
+
+    // The same for a refusal that does not say which request it refuses.
+    void refusalWithoutIdOnAKeptConnectionPromisesNothing()
+    {
+        const auto script = [](const std::string &request) {
+            if (scriptedField(request, protocol.requestId).starts_with("first"))
+                return answerOk(request);
+            return scripted_answer{scriptedResponse(503, protocol.notRun + ": 1\r\n", "")};
+        };
+        carrying system({script, script});
+        for (int i = 0; system.upstreams[0]->connections() * system.upstreams[1]->connections() == 0
+             && i < 1'000;
+             ++i)
+            system.send("/safe/x", fmt::format("first-{}", i));
+        const std::size_t before = system.arrivals();
+        CPPUNIT_ASSERT_EQUAL(502, system.send("/once/x", "id-2", "claim").status);
+        CPPUNIT_ASSERT_EQUAL(before + 1, system.arrivals());
+    }
+
+    // An answer can't be told from an earlier one if the request has no id.
+    void requestWithoutIdGetsAConnectionOfItsOwn()
+    {
+        carrying system({answerOk});
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "", "claim").status);
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "id", "claim").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, system.upstreams[0]->connections());
+    }
+
     void answerWithoutLengthNeedsACleanEnd()
     {
         const auto answer = [](const std::string &request) {
