Cut off an upstream that sends responses without end

Heads, chunk lines, trailers and bodies were bounded already.

Change: a call takes 16 interim and 8 skipped responses at most; one more is a malformed response. Interim responses are read in a loop.

Still open: the bound on a body is 16 MB for each request, and no bound holds for all requests together.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int firstFinalStatus = 200;
+constexpr int badGateway = 502;
 
 // The time in "Keep-Alive: timeout=N".
 std::optional<std::chrono::milliseconds> idleTimeOf(const http_head &head)
@@ -52,6 +53,8 @@
     m_response.reset();
     m_decoder.reset();
     m_isSkipping = false;
+    m_interim = 0;
+    m_skipped = 0;
     m_sentBefore = m_socket.sentBytes();
     if (!m_socket.isOpen()) {
         fail(call_failure::not_sent);
@@ -115,15 +118,20 @@
 
 bool http_client::readHead()
 {
-    const auto end = findHeadEnd(m_socket.input());
-    if (!end)
-        return false;
-    http_head head
-        = parseResponseHead(std::string_view(m_socket.input()).substr(0, *end), m_call->isHead);
-    m_socket.input().erase(0, *end);
-    if (head.status < firstFinalStatus)
-        return readHead();
+    http_head head;
+    do {
+        const auto end = findHeadEnd(m_socket.input());
+        if (!end)
+            return false;
+        head
+            = parseResponseHead(std::string_view(m_socket.input()).substr(0, *end), m_call->isHead);
+        m_socket.input().erase(0, *end);
+        if (head.status < firstFinalStatus && ++m_interim > mostInterimResponses)
+            throw http_error(badGateway, "too many interim responses");
+    } while (head.status < firstFinalStatus);
     m_isSkipping = m_call->matches && !m_call->matches(head);
+    if (m_isSkipping && ++m_skipped > mostSkippedResponses)
+        throw http_error(badGateway, "too many responses to other requests");
     // After an answer to half a request, the rest must not reach the upstream as another request.
     if (m_isSkipping || !head.keepAlive || m_socket.hasUnsent() || !m_isWhole)
         m_isReusable = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,9 +30,15 @@
 
 // One HTTP/1.1 connection to a server, for one call at a time. Responses are read whole. A response
 // whose identification differs from the call's is left over from an earlier call and skipped.
+// A server that sends without end is cut off: heads, bodies, and the numbers of interim and of
+// skipped responses are bounded.
 class http_client
 {
 public:
+    // Of one call. A server that sends more is faulty.
+    static constexpr std::uint32_t mostInterimResponses = 16; // 1xx
+    static constexpr std::uint32_t mostSkippedResponses = 8;
+
     struct call
     {
         std::string request; // head and body as they are sent
@@ -91,6 +97,8 @@
     std::optional<client_response> m_response;
     std::optional<body_decoder> m_decoder;
     bool m_isSkipping = false; // the response being read belongs to an earlier call
+    std::uint32_t m_interim = 0; // 1xx responses to the current call
+    std::uint32_t m_skipped = 0;
     std::uint64_t m_sentBefore = 0;
     steady_time m_connectedAt;
     steady_time m_heardAt;
--- a/tests/carrier/carrier_test.cc
+++ b/tests/carrier/carrier_test.cc
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(promiseOfAnUpstreamThatMayHaveRunIsNotPassedOn);
     CPPUNIT_TEST(answersOfOtherRequestsAreSkipped);
     CPPUNIT_TEST(extraBytesNeverReachAnotherCaller);
+    CPPUNIT_TEST(serverThatSendsWithoutEndIsCutOff);
     CPPUNIT_TEST(earlierRefusalOnceMoreIsSkipped);
     CPPUNIT_TEST(refusalWithoutIdOnAKeptConnectionPromisesNothing);
     CPPUNIT_TEST(requestWithoutIdGetsAConnectionOfItsOwn);
@@ -180,6 +181,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, system.upstreams[0]->connections());
     }
 
+    // Guards against memory and time that an upstream takes by sending until it is closed.
+    void serverThatSendsWithoutEndIsCutOff()
+    {
+        const auto repeat = [](const std::string &text, std::size_t bytes) {
+            std::string result;
+            while (result.size() < bytes)
+                result += text;
+            return result;
+        };
+        constexpr std::size_t much = 24 << 20;
+        const std::string other = scriptedResponse(200, protocol.requestId + ": other\r\n", "x");
+        const std::string head = "HTTP/1.1 200 OK\r\n" + protocol.requestId + ": id\r\n";
+        for (const std::string &bytes :
+             {std::string(much, 'x'), head + repeat("A: b\r\n", much),
+              repeat("HTTP/1.1 100 Continue\r\n\r\n", much), repeat(other, much),
+              head + "\r\n" + std::string(much, 'x'),
+              head + "Transfer-Encoding: chunked\r\n\r\n"
+                  + repeat("40\r\n" + std::string(64, 'x') + "\r\n", much),
+              head + "Transfer-Encoding: chunked\r\n\r\n" + std::string(much, '0'),
+              head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + repeat("A: b\r\n", much)}) {
+            carrying system({[&](const std::string &) { return scripted_answer{bytes}; }});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes.substr(0, 80), 502,
+                                         system.send("/once/x", "id", "claim").status);
+            system.send("/once/x", "id-2", "claim");
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, system.upstreams[0]->connections());
+        }
+    }
+
     // Guards against an earlier refusal, written once more on a kept connection, that is taken for
     // the answer to a request that runs.
     void earlierRefusalOnceMoreIsSkipped()
