Revert both tries at what an instance knows right after its start

Reverts (ready only with a list that shows a moment after the start) and (ready at once, one request at a time to each upstream until then). An entry instance again takes the upstreams of its first list for warm unless the list says otherwise.

Both cost callers more than they guard. Requests that may not go to the first upstream of their object run at another one that has the object cold.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -576,16 +576,15 @@
     m_choice.coldPermit.recordSent(now);
     m_owner.m_metrics.counter("buckthorngrade_cold_requests_total").add();
     if (m_owner.m_log.admits(event_id::cold_request_sent))
-        m_owner.m_log.write(
-            event_id::cold_request_sent,
-            {{"id", m_id},
-             {"upstream", m_upstream->listed.id},
-             {"reason", m_owner.m_knowsWarm ? m_upstream->coldReason : "unknown since the start"},
-             {"cold_ms", elapsedMs(now, m_upstream->coldUntil)},
-             {"share", m_choice.coldPermit.share()},
-             {"instances", m_owner.m_peers.peers().size()},
-             {"instances_age_ms", m_owner.m_peers.age(boot_clock::now()).count()},
-             {"waited_ms", elapsedMs(m_sentAt, now)}});
+        m_owner.m_log.write(event_id::cold_request_sent,
+                            {{"id", m_id},
+                             {"upstream", m_upstream->listed.id},
+                             {"reason", m_upstream->coldReason},
+                             {"cold_ms", elapsedMs(now, m_upstream->coldUntil)},
+                             {"share", m_choice.coldPermit.share()},
+                             {"instances", m_owner.m_peers.peers().size()},
+                             {"instances_age_ms", m_owner.m_peers.age(boot_clock::now()).count()},
+                             {"waited_ms", elapsedMs(m_sentAt, now)}});
 }
 
 void carried_request::logAttempt(std::string_view outcome)
--- a/src/carrier/carrier.cc
+++ b/src/carrier/carrier.cc
@@ -229,17 +229,6 @@
     return service->coldRate * m_settings.coldOverage + m_settings.coldAllowance;
 }
 
-std::uint32_t carrier::coldShareOf(const upstream_state &upstream, bool isKnownCold) const
-{
-    const std::uint32_t share = coldShare(m_peers.peers(), m_settings.name, upstream.listed.id,
-                                          upstream.region, coldLimit(upstream));
-    if (m_peers.mayUseShares(boot_clock::now()))
-        return share;
-    // Right after the start, the peers known may be a part of them. One request at a time keeps
-    // also an upstream that is cold unseen within its rate.
-    return isKnownCold ? 0 : std::min(share, 1U);
-}
-
 carrier::choice carrier::choose(const route &route, const std::string &service,
                                 const std::optional<std::uint64_t> &affinity,
                                 std::uint64_t bodyBytes, const std::set<std::string> &excluded)
@@ -254,14 +243,17 @@
     });
     if (usable.empty())
         return {.upstream = nullptr, .reason = "no usable upstream"};
+    const bool mayUseShares = m_peers.mayUseShares(boot_clock::now());
     const routed_service *routed = m_routes ? m_routes->findService(service) : nullptr;
     const auto coldPeriod = routed == nullptr ? std::chrono::milliseconds(0) : routed->coldPeriod;
     std::map<const upstream_state *, std::uint32_t> coldShares;
     std::erase_if(usable, [&](upstream_state *upstream) {
-        const bool isKnownCold = upstream->isCold(now, coldPeriod);
-        if (!isKnownCold && (m_knowsWarm || coldPeriod.count() == 0))
+        if (!upstream->isCold(now, coldPeriod))
             return false;
-        const std::uint32_t share = coldShareOf(*upstream, isKnownCold);
+        const std::uint32_t share = mayUseShares
+            ? coldShare(m_peers.peers(), m_settings.name, upstream->listed.id, upstream->region,
+                        coldLimit(*upstream))
+            : 0;
         coldShares[upstream] = share;
         return !upstream->coldGate->isOpen(now, share);
     });
--- a/src/carrier/carrier.h
+++ b/src/carrier/carrier.h
@@ -47,8 +47,6 @@
     // `mayHaveMissed`: other failure domains may have been evacuated and taken back unseen.
     void setEvacuated(std::set<std::string> domains, bool mayHaveMissed);
     void setUpstreams(const upstream_listing &listing);
-    // Whether upstreams that are not known to be cold may be taken for warm.
-    void setKnowsWarm(bool knowsWarm) { m_knowsWarm = knowsWarm; }
     // The entry instances that a control instance names.
     void setInstances(const std::vector<peer_instance> &instances);
     void setRegionLoads(const std::vector<wire::region_load> &loads);
@@ -96,8 +94,6 @@
     // Own requests that take a slot of the upstream or wait for one, estimated.
     double runningRequests(const upstream_state &upstream) const;
     double coldLimit(const upstream_state &upstream) const;
-    // Requests to an upstream that is cold, or may be, within coldInterval.
-    std::uint32_t coldShareOf(const upstream_state &upstream, bool isKnownCold) const;
     // Entry instances among which the allowance of retries is divided; 0: this one has no part yet.
     std::size_t allowanceSharers() const;
 
@@ -116,7 +112,6 @@
                                                                          // instances
     std::unordered_set<carried_request *> m_underWay;
     std::mt19937_64 m_random;
-    bool m_knowsWarm = false;
     bool m_isStopping = false;
 };
 
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -44,7 +44,6 @@
     , m_control(
           loop, m_settings.replicaPort(), events,
           [this](const std::string &host, const wire::node_view &view) { applyView(host, view); })
-    , m_readiness(m_settings.listLag)
     , m_incarnation(randomIncarnation())
     , m_schedule(m_incarnation)
 {
@@ -119,7 +118,7 @@
 
 void entry_node::applyView(const std::string &host, const wire::node_view &view)
 {
-    m_readiness.recordAnswer(host, m_loop.now());
+    m_heard.insert(host);
     if (view.voters_size() > 0) {
         m_voterHosts.clear();
         std::ranges::transform(view.voters(), std::inserter(m_voterHosts, m_voterHosts.end()),
@@ -138,7 +137,6 @@
         m_schedule.setInstances(m_peers.peers().size());
         m_carrier.setRegionLoads({view.loads().begin(), view.loads().end()});
     }
-    m_carrier.setKnowsWarm(m_readiness.knowsWarmUpstreams(m_listing.readAt(), m_loop.now()));
     updateReadiness();
 }
 
@@ -187,14 +185,14 @@
 {
     if (m_isReady)
         return;
-    if (!m_readiness.isReady(m_voterHosts, m_routingVersion != 0, m_listing.readAt()))
+    const auto heard = static_cast<std::size_t>(std::ranges::count_if(
+        m_voterHosts, [this](const std::string &host) { return m_heard.contains(host); }));
+    if (heard * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listing.isEmpty())
         return;
     m_isReady = true;
     m_schedule.setReady();
     m_events.write(event_id::readiness_changed,
-                   {{"ready", true},
-                    {"version", m_routingVersion},
-                    {"control", m_readiness.answered(m_voterHosts)}});
+                   {{"ready", true}, {"version", m_routingVersion}, {"control", heard}});
     m_control.poll(report(), nearestControl());
 }
 
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -5,7 +5,6 @@
 #include "carrier/evacuation_follower.h"
 #include "carrier/listing_follower.h"
 #include "carrier/poll_schedule.h"
-#include "carrier/readiness_rule.h"
 #include "model/node_settings.h"
 #include "net/http_server.h"
 
@@ -20,7 +19,9 @@
 // An entry instance of a deployment that discovers its parts. It carries callers' requests, learns
 // routing, upstreams and evacuations from the control instances, and reports itself to them.
 //
-// It takes only what is newer than what it has. readiness_rule says when it takes requests.
+// It takes only what is newer than what it has. After its start it is not ready before a majority
+// of the control instances has answered, because a single one may have been cut off and know only
+// an old routing document.
 class entry_node
 {
 public:
@@ -54,7 +55,7 @@
     carrier m_carrier;
     control_client m_control;
     std::set<std::string> m_voterHosts;
-    readiness_rule m_readiness;
+    std::set<std::string> m_heard; // control instances that answered since the start
     std::uint64_t m_incarnation;
     poll_schedule m_schedule;
     std::uint64_t m_routingVersion = 0;
--- a/src/carrier/listing_follower.h
+++ b/src/carrier/listing_follower.h
@@ -4,7 +4,6 @@
 #include "model/upstream_listing.h"
 
 #include <cstdint>
-#include <optional>
 
 namespace buckthorngrade {
 
@@ -18,11 +17,6 @@
     // Takes what an answer has of the list. Returns whether the upstreams changed.
     bool apply(const wire::node_view &view, steady_time now);
     bool isEmpty() const { return m_digest == 0; }
-    // When the list in use was last read; nothing without a list.
-    std::optional<steady_time> readAt() const
-    {
-        return isEmpty() ? std::nullopt : std::optional(m_confirmedAt);
-    }
     const upstream_listing &listing() const { return m_listing; }
 
 private:
--- a/src/platform/platform_settings.cc
+++ b/src/platform/platform_settings.cc
@@ -103,7 +103,6 @@
         result.dataFolder = textField(all, "data_dir", "");
         const json list = objectField(all, "cloud");
         result.listAddress = textField(list, "address", "");
-        result.listLag = timeField(list, "lag", result.listLag);
         result.listCallsPerSecond = numberField(list, "rate_per_s", result.listCallsPerSecond);
     } catch (const net_error &failure) {
         throw settings_error(failure.what());
