Log no cold period for an upstream that is only suspected to be cold

The time until which it counts as cold is the least of all times then, and the subtraction in cold_request_sent overflowed. It logs 0 now.

--- a/src/carrier/carried_request.cc
+++ b/src/carrier/carried_request.cc
@@ -580,7 +580,7 @@
                             {{"id", m_id},
                              {"upstream", m_upstream->listed.id},
                              {"reason", m_upstream->coldReason},
-                             {"cold_ms", elapsedMs(now, m_upstream->coldUntil)},
+                             {"cold_ms", elapsedMs(now, std::max(now, m_upstream->coldUntil))},
                              {"share", m_choice.coldPermit.share()},
                              {"instances", m_owner.m_peers.peers().size()},
                              {"instances_age_ms", m_owner.m_peers.age(boot_clock::now()).count()},
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -271,6 +271,7 @@
 void upstream_table::recordLoss(upstream_state &upstream, steady_time aliveAt)
 {
     const steady_time now = m_loop.now();
+    // One line for a suspicion, whatever the service's cold period is.
     const bool wasSuspected = upstream.restarts.isSuspected(now, restart_watch::silence);
     upstream.restarts.recordLoss(aliveAt, now);
     if (wasSuspected || now < upstream.coldUntil)
