--- a/src/base/boot_clock.h
+++ b/src/base/boot_clock.h
@@ -12,7 +12,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
 
     static time_point now() noexcept;
 };
