--- a/tests/carrier/cold_upstream_test.cc
+++ b/tests/carrier/cold_upstream_test.cc
@@ -1,5 +1,6 @@
 #include "carrier/evacuation_follower.h"
 #include "carrier_fixture.h"
+#include "testing/sliding_window.h"
 #include "testing/wait.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -7,7 +8,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <mutex>
 #include <thread>
 
@@ -44,12 +44,8 @@
     std::size_t mostInASecond(std::size_t skipped = 0) const
     {
         const std::lock_guard lock(m_mutex);
-        std::size_t most = 0;
-        for (std::size_t first = skipped; first < m_arrivals.size(); ++first) {
-            const auto end = std::ranges::lower_bound(m_arrivals, m_arrivals[first] + 1s);
-            most = std::max<std::size_t>(most, end - m_arrivals.begin() - first);
-        }
-        return most;
+        return mostWithin(
+            {m_arrivals.begin() + static_cast<std::ptrdiff_t>(skipped), m_arrivals.end()}, 1s);
     }
 
 private:
--- a/tests/control/shared_bounds_history_test.cc
+++ b/tests/control/shared_bounds_history_test.cc
@@ -1,6 +1,7 @@
 #include "control/node_roster.h"
 #include "steering/cold_gate.h"
 #include "steering/retry_budget.h"
+#include "testing/sliding_window.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -30,18 +31,6 @@
 // No requests are counted, so that only the allowance is used.
 const retry_budget::limits retryLimits{0, 60, retryWindow};
 
-// Largest number of times within any window of `length`.
-std::size_t mostWithin(const std::vector<steady_time> &times, std::chrono::seconds length)
-{
-    std::size_t most = 0;
-    for (std::size_t first = 0, last = 0; first < times.size(); ++first) {
-        while (last < times.size() && times[last] - times[first] < length)
-            ++last;
-        most = std::max(most, last - first);
-    }
-    return most;
-}
-
 // Entry instances that learn of each other through control instances, all of which restart and are
 // cut off at random. They always want to use one cold upstream and to repeat requests.
 class history
--- a/tests/steering/shared_budgets_test.cc
+++ b/tests/steering/shared_budgets_test.cc
@@ -1,6 +1,7 @@
 #include "steering/cold_gate.h"
 #include "steering/region_share.h"
 #include "steering/retry_budget.h"
+#include "testing/sliding_window.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,19 +28,6 @@
     return result;
 }
 
-// Largest number of times within any window of `length` that starts at one of them.
-std::size_t mostWithin(std::vector<steady_time> times, std::chrono::milliseconds length)
-{
-    std::ranges::sort(times);
-    std::size_t most = 0;
-    for (std::size_t first = 0, last = 0; first < times.size(); ++first) {
-        while (last < times.size() && times[last] - times[first] < length)
-            ++last;
-        most = std::max(most, last - first);
-    }
-    return most;
-}
-
 } // namespace
 
 // Budgets that all entry instances share without asking each other.
