--- /dev/null
+++ b/tests/carrier/entry_node_test.cc
@@ -0,0 +1,168 @@
+#include "carrier/entry_node.h"
+
+#include "link/listing_messages.h"
+#include "proxy_fixture.h"
+#include "testing/free_port.h"
+#include "testing/http_connection.h"
+#include "testing/wait.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace buckthorngrade;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7f000001; // 127.0.0.1 as a replica id
+
+// Answers each report with the same view.
+class fixed_view_service final : public wire::node_link::Service
+{
+public:
+    explicit fixed_view_service(wire::node_view view)
+        : m_view(std::move(view))
+    { }
+    grpc::Status Sync(grpc::ServerContext *, const wire::node_report *,
+                      wire::node_view *view) override
+    {
+        *view = m_view;
+        return grpc::Status::OK;
+    }
+
+private:
+    const wire::node_view m_view;
+};
+
+class fixed_codec final : public routing_codec
+{
+public:
+    routing_document decode(std::string_view) const override
+    {
+        routing_document document;
+        document.version = 1;
+        document.routes = {routeFor("/safe/", request_kind::idempotent),
+                           routeFor("/once/", request_kind::non_idempotent)};
+        document.services = {{"s", "/health", 100, 3s, 1}};
+        return document;
+    }
+};
+
+} // namespace
+
+class entry_node_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(entry_node_test);
+    CPPUNIT_TEST(stoppingInstanceAnswersEveryRequestThatItReads);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a planned stop that takes requests late in its grace period, forwards them, and
+    // closes their connections without a response when the period ends.
+    void stoppingInstanceAnswersEveryRequestThatItReads()
+    {
+        loop_thread thread;
+        constexpr auto workTime = 400ms;
+        scripted_server upstream(thread.loop(), [&](const std::string &request) {
+            scripted_answer answer = answerOk(request);
+            answer.delay = workTime;
+            return answer;
+        });
+        wire::node_view view;
+        view.set_replica(loopback);
+        view.add_voters(loopback);
+        view.set_has_leader(true);
+        view.set_routing_version(1);
+        view.set_routing_text("document");
+        view.set_listing_digest(1);
+        encodeUpstream({"u0", "s", upstream.address(), "d", 1'000, false, 0ms, 1},
+                       *view.add_upstreams());
+        wire::node_entry &self = *view.add_entries();
+        self.set_instance("entry-1");
+        self.set_region("r");
+        fixed_view_service control(view);
+        const free_port controlPort;
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(controlPort.address(), grpc::InsecureServerCredentials());
+        builder.RegisterService(&control);
+        const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+
+        const free_port entryPort;
+        const free_port readyPort;
+        node_settings settings = nodeSettings();
+        settings.entryAddress = entryPort.address();
+        settings.readyAddress = readyPort.address();
+        settings.firstInternalPort = controlPort.number();
+        settings.seedHosts = {"127.0.0.1"};
+        settings.stopLimit = 6s;
+        settings.linkBytesPerSecond = 125e6;
+        const fixed_codec codec;
+        null_event_log events;
+        metric_registry metrics;
+        auto node = std::make_unique<entry_node>(thread.loop(), settings, headerNames, codec,
+                                                 events, metrics);
+        thread.start();
+        waitUntil("the instance is ready", [&] {
+            bool isReady = false;
+            thread.call([&] { isReady = node->isReady(); });
+            return isReady;
+        });
+
+        // Callers go on with open connections and open new ones until the process has stopped.
+        std::atomic<bool> hasStopped = false;
+        std::atomic<int> ok = 0;
+        std::atomic<int> rejected = 0;
+        std::atomic<int> unanswered = 0;
+        std::vector<std::thread> callers;
+        constexpr int callerCount = 8;
+        callers.reserve(callerCount);
+        for (int caller = 0; caller < callerCount; ++caller)
+            callers.emplace_back([&, caller] {
+                for (int i = 0; !hasStopped; ++i) {
+                    bool isSent = false;
+                    try {
+                        http_connection connection(
+                            Poco::Net::StreamSocket(Poco::Net::SocketAddress(entryPort.address())));
+                        connection.send(fmt::format(
+                            "POST /once/x HTTP/1.1\r\nHost: test\r\n{}: id-{}-{}\r\n"
+                            "Content-Length: 1\r\n\r\nx",
+                            headerNames.requestId, caller, i));
+                        isSent = true;
+                        Poco::Net::HTTPResponse response;
+                        if (!connection.readHead(response)) {
+                            unanswered += hasStopped ? 0 : 1;
+                            continue;
+                        }
+                        ++(response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK ? ok
+                                                                                    : rejected);
+                    } catch (const Poco::Exception &) {
+                        // A refused connection is not a request that was read.
+                        unanswered += isSent && !hasStopped ? 1 : 0;
+                        std::this_thread::sleep_for(10ms);
+                    }
+                }
+            });
+        waitUntil("requests are answered", [&] { return ok > callerCount; });
+        thread.call([&] { node->stop([&] { hasStopped = true; }); });
+        waitUntil("the instance has stopped", [&] { return hasStopped.load(); });
+        std::ranges::for_each(callers, &std::thread::join);
+        thread.stop();
+        node.reset();
+        server->Shutdown();
+        CPPUNIT_ASSERT_EQUAL(0, unanswered.load());
+        // Requests that were forwarded and not answered would be among those of the upstream.
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(ok.load()), upstream.requests().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(entry_node_test);
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(refusalWithoutIdOnReusedConnectionGives502);
     CPPUNIT_TEST(requestWithoutIdGetsNewConnection);
     CPPUNIT_TEST(responseWithoutLengthNeedsCleanClose);
+    CPPUNIT_TEST(responseCutWithinHeadIsNotForwarded);
     CPPUNIT_TEST(timeoutAfterSendingGives504);
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
     CPPUNIT_TEST(replacedUpstreamGetsNoMoreRequests);
@@ -274,6 +275,34 @@
         CPPUNIT_ASSERT_EQUAL(502, resetBeforeEnd.send("/once/x", "id", "c").status);
     }
 
+    // Guards against forwarding the part of a response head that arrived before the upstream closed
+    // the connection as a complete response.
+    void responseCutWithinHeadIsNotForwarded()
+    {
+        const std::string head = fmt::format(
+            "HTTP/1.1 200 OK\r\n{}: id\r\n{}: s\r\nContent-Length: 4\r\n\r\n",
+            headerNames.requestId, headerNames.seal);
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            for (const bool resets : {false, true}) {
+                proxy_fixture system({[&](const std::string &) {
+                    return scripted_answer{head.substr(0, length), !resets, resets};
+                }});
+                const std::string where = fmt::format("cut after {} bytes", length);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(where, 502, system.send("/once/x", "id", "c").status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::size_t{1}, system.arrivals());
+            }
+        }
+        std::atomic<int> count = 0;
+        const scripted_server::script cutsOnce = [&](const std::string &request) {
+            return ++count == 1 ? scripted_answer{head.substr(0, head.size() / 2), true, false}
+                                : answerOk(request);
+        };
+        proxy_fixture retrying({cutsOnce, cutsOnce});
+        const http_response response = retrying.send("/safe/x", "id");
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), response.body);
+    }
+
     void timeoutAfterSendingGives504()
     {
         proxy_fixture system({[](const std::string &) { return scripted_answer{}; }});
