Copy the list of upstreams among control instances and send it from one

Cause: only the leader held the list. When the leader was lost, the next one and each voter without contact began lists of their own, whose versions no entry instance knew, so complete lists (813 upstreams, about 70 KB) went to 185 entry instances over links of 2 Mbit/s, from several control instances at once.

Change: followers copy the versions of the leader's list with a call that waits for the next change. Every control instance can then answer from any recent version with a difference, also after it becomes the reader. An entry instance asks one control instance at a time for the list, the nearest one that has a recent list; a newer routing document is requested from one as well.

--- a/src/carrier/control_client.cc
+++ b/src/carrier/control_client.cc
@@ -74,7 +74,7 @@
 
 void control_client::reconnect(peer &to)
 {
-    m_retiredChannels.push_back({m_loop.now(), std::move(to.channel)});
+    m_retiredChannels.add(std::move(to.channel), m_loop.now());
     connect(to);
     ++m_reconnects;
 }
@@ -97,19 +97,26 @@
 
 void control_client::poll(const wire::node_report &report, const std::string &detailsHost)
 {
-    std::erase_if(m_retiredChannels, [this](const retired_channel &channel) {
-        return m_loop.now() - channel.since > retiredChannelLifetime;
-    });
-    for (const auto &[host, to] : m_peers)
-        if (!to->isBusy)
-            start(*to, report, host == detailsHost);
+    m_retiredChannels.removeExpired(m_loop.now());
+    for (const auto &[host, to] : m_peers) {
+        if (to->isBusy)
+            continue;
+        wire::node_report sent = report;
+        sent.set_wants_details(host == detailsHost);
+        sent.set_omits_listing(host != detailsHost);
+        start(*to, std::move(sent));
+    }
 }
 
-void control_client::pollOne(const wire::node_report &report, const std::string &host)
+void control_client::requestRouting(const wire::node_report &report, const std::string &host)
 {
     const auto found = m_peers.find(host);
-    if (found != m_peers.end() && !found->second->isBusy)
-        start(*found->second, report, true);
+    if (found == m_peers.end() || found->second->isBusy)
+        return;
+    wire::node_report sent = report;
+    sent.set_wants_routing(true);
+    sent.set_omits_listing(true);
+    start(*found->second, std::move(sent));
 }
 
 std::set<std::string> control_client::respondingHosts() const
@@ -121,12 +128,11 @@
     return result;
 }
 
-void control_client::start(peer &to, const wire::node_report &report, bool wantsDetails)
+void control_client::start(peer &to, wire::node_report report)
 {
     to.isBusy = true;
     auto call = std::make_shared<call_state>();
-    call->report = report;
-    call->report.set_wants_details(wantsDetails);
+    call->report = std::move(report);
     call->context.set_deadline(std::chrono::system_clock::now() + callTimeout);
     ++*m_pendingCalls;
     to.stub->async()->Sync(&call->context, &call->report, call->view.get(),
--- a/src/carrier/control_client.h
+++ b/src/carrier/control_client.h
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "link.grpc.pb.h"
+#include "link/retired_channels.h"
 #include "net/event_loop.h"
 
 #include <grpcpp/channel.h>
@@ -14,7 +15,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace buckthorngrade {
 
@@ -29,9 +29,6 @@
     // replaced. Other errors, such as a refused connection, don't count, because gRPC reconnects by
     // itself after them.
     static constexpr std::uint32_t timeoutsUntilReconnect = 2;
-    // gRPC 1.51 aborts the process when a channel is destroyed while it is connecting, so a
-    // replaced channel is kept for longer than a connection attempt takes.
-    static constexpr std::chrono::seconds retiredChannelLifetime{5};
 
     using view_handler = std::function<void(const std::string &host, const wire::node_view &)>;
 
@@ -45,12 +42,12 @@
     // Sets the control instances to poll, by IPv4 address.
     void setHosts(const std::set<std::string> &hosts);
     // Sends `report` to every control instance that has no call in progress. The instance
-    // `detailsHost` is also asked for the details: a newer routing document, the list of entry
-    // instances and the loads.
+    // `detailsHost` is also asked for the details: a newer routing document, the lists of entry
+    // instances and of upstreams, and the loads. Only one is asked, because the details are large.
     void poll(const wire::node_report &report, const std::string &detailsHost);
-    // Sends `report` to one control instance and asks for the details, unless it has a call in
-    // progress.
-    void pollOne(const wire::node_report &report, const std::string &host);
+    // Sends `report` to one control instance and asks for a newer routing document only, unless it
+    // has a call in progress.
+    void requestRouting(const wire::node_report &report, const std::string &host);
     // Returns the hosts whose last call succeeded.
     std::set<std::string> respondingHosts() const;
     std::size_t hostCount() const { return m_peers.size(); }
@@ -60,13 +57,7 @@
 private:
     struct peer;
     struct call_state;
-    struct retired_channel
-    {
-        steady_time since;
-        std::shared_ptr<grpc::Channel> channel;
-    };
-
-    void start(peer &to, const wire::node_report &report, bool wantsDetails);
+    void start(peer &to, wire::node_report report);
     void handleReply(const std::string &host, std::uint64_t generation, const grpc::Status &status,
                      const std::shared_ptr<wire::node_view> &view);
     void connect(peer &to);
@@ -77,7 +68,7 @@
     event_log &m_events;
     view_handler m_onView;
     std::map<std::string, std::unique_ptr<peer>> m_peers; // by host
-    std::vector<retired_channel> m_retiredChannels;
+    retired_channels m_retiredChannels;
     std::size_t m_reconnects = 0;
     std::uint64_t m_nextGeneration = 1;
     std::shared_ptr<std::atomic<int>> m_pendingCalls = std::make_shared<std::atomic<int>>(0);
--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -19,6 +19,11 @@
 constexpr std::uint64_t streamingThresholdBytes = 8U << 10;
 // A body crosses the link twice, in and out, so streaming uses twice this share of the link.
 constexpr double bodyShareOfLink = 0.45;
+// The list is confirmed about every 2 s: it is read every 0.7 s, copied by the other control
+// instances within 0.6 s, and polled within 1.2 s.
+constexpr std::chrono::milliseconds maxListingAge{3'000};
+// Two round trips between regions, and the time to send a document over a busy link.
+constexpr std::chrono::milliseconds routingRetryDelay{300};
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -47,6 +52,7 @@
           [this](const std::string &host, const wire::node_view &view) { applyView(host, view); })
     , m_incarnation(newIncarnation())
     , m_schedule(m_incarnation)
+    , m_detailsHost(m_settings.host)
 {
     http_server_options options;
     options.streamingThresholdBytes = streamingThresholdBytes;
@@ -94,26 +100,17 @@
     return result;
 }
 
-// Returns the responding control instance whose address is closest to the own one: addresses of a
-// failure domain or region share a prefix.
-std::string entry_node::nearestControl() const
+void entry_node::sendReports()
 {
-    const std::uint32_t own = ipv4FromString(m_settings.host);
-    std::string best;
-    std::uint32_t bestDistance = 0;
-    for (const std::string &host : m_control.respondingHosts()) {
-        const std::uint32_t distance = own ^ ipv4FromString(host);
-        if (best.empty() || distance < bestDistance) {
-            best = host;
-            bestDistance = distance;
-        }
-    }
-    return best;
+    const steady_time now = m_loop.now();
+    m_control.poll(report(),
+                   m_detailsHost.select(m_control.respondingHosts(),
+                                        m_listing.isRecent(now, maxListingAge), now));
 }
 
 void entry_node::poll()
 {
-    m_control.poll(report(), nearestControl());
+    sendReports();
     m_loop.runAfter(m_schedule.nextDelay(), [this] { poll(); });
 }
 
@@ -146,8 +143,16 @@
     if (view.routing_version() <= m_routingVersion)
         return;
     if (view.routing_text().empty()) {
+        // All control instances name the new version at about the same time, and one has to send
+        // it.
+        const steady_time now = m_loop.now();
+        if (m_requestedRouting == view.routing_version()
+            && now - m_routingRequestedAt < routingRetryDelay)
+            return;
+        m_requestedRouting = view.routing_version();
+        m_routingRequestedAt = now;
         // Requests the document once the current call has ended.
-        m_loop.post([this, host] { m_control.pollOne(report(), host); });
+        m_loop.post([this, host] { m_control.requestRouting(report(), host); });
         return;
     }
     try {
@@ -194,7 +199,7 @@
     m_schedule.setReady();
     m_events.write(event_id::readiness_changed,
                    {{"ready", true}, {"version", m_routingVersion}, {"control", respondedVoters}});
-    m_control.poll(report(), nearestControl());
+    sendReports();
 }
 
 void entry_node::stop(std::function<void()> onStopped)
@@ -204,7 +209,7 @@
     m_isStopping = true;
     m_onStopped = std::move(onStopped);
     m_server->announceStop();
-    m_control.poll(report(), nearestControl());
+    sendReports();
     const steady_time since = m_loop.now();
     m_loop.runAfter(rejectRequestsDelay, [this, since] {
         m_proxy.rejectNewRequests();
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carrier/control_client.h"
+#include "carrier/details_host_selector.h"
 #include "carrier/evacuation_tracker.h"
 #include "carrier/listing_tracker.h"
 #include "carrier/poll_schedule.h"
@@ -43,7 +44,8 @@
     void applyRouting(const wire::node_view &view, const std::string &host);
     void applyEvacuations(const wire::node_view &view);
     void updateReadiness();
-    std::string nearestControl() const;
+    // Sends a report to all control instances and asks one of them for the details.
+    void sendReports();
     wire::node_report report() const;
     void checkStopped(steady_time since);
 
@@ -58,7 +60,10 @@
     std::set<std::string> m_respondedHosts; // control instances that responded since the start
     std::uint64_t m_incarnation;
     poll_schedule m_schedule;
+    details_host_selector m_detailsHost;
     std::uint64_t m_routingVersion = 0;
+    std::uint64_t m_requestedRouting = 0; // version that was requested last
+    steady_time m_routingRequestedAt{};
     evacuation_tracker m_evacuations;
     listing_tracker m_listing;
     bool m_isReady = false;
--- a/src/carrier/listing_tracker.h
+++ b/src/carrier/listing_tracker.h
@@ -3,6 +3,7 @@
 #include "link.pb.h"
 #include "model/upstream_listing.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace buckthorngrade {
@@ -17,6 +18,11 @@
     // Applies the full list or the changes in a view. Returns whether the upstreams changed.
     bool apply(const wire::node_view &view, steady_time now);
     bool isEmpty() const { return m_digest == 0; }
+    // Returns whether a control instance has read this list within `maxAge`.
+    bool isRecent(steady_time now, std::chrono::milliseconds maxAge) const
+    {
+        return !isEmpty() && now - m_confirmedAt <= maxAge;
+    }
     const upstream_listing &listing() const { return m_listing; }
 
 private:
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -19,6 +19,8 @@
 // Requests to a leaving upstream must stop within seconds after the list marks it as leaving. A
 // shorter period would cost more, because every read of the list is charged.
 constexpr std::chrono::milliseconds listReadPeriod{700};
+// Limits the calls to the leader while the pages of a long list change one after the other.
+constexpr std::chrono::milliseconds minListFollowPeriod{100};
 // The stream to a peer is reopened on a new connection if the peer is silent for this long.
 // Heartbeats are sent every 150 ms, and the one-way delay of a link is at most 55 ms.
 constexpr std::chrono::milliseconds peerSilenceLimit{1'200};
@@ -82,11 +84,17 @@
           events)
     , m_listReader(upstreamSource, failureDomains(settings), *m_replica, clock, events, metrics)
     , m_syncService(*m_replica, m_state, m_listReader, m_entryInstances, clock)
+    , m_listingLinkService(m_listReader, clock)
+    , m_listFollower(
+          m_listReader, *m_replica,
+          [settings](replica_id id) { return replicaAddress(settings, id); }, clock, events)
     , m_routing(*m_replica, m_state, codec, events)
     , m_server(startGrpcServer(replicaAddress(settings, ipv4FromString(settings.host)),
-                               {&m_peerLinkService, &m_syncService}))
+                               {&m_peerLinkService, &m_syncService, &m_listingLinkService}))
     , m_listReadThread(
           "upstream list", listReadPeriod, [this] { m_listReader.run(); }, events)
+    , m_listFollowThread(
+          "upstream list copy", minListFollowPeriod, [this] { m_listFollower.run(); }, events)
 {
     m_replica->start(std::move(onFailure));
     // Connects in advance. Otherwise the first election after a restart of the whole group would
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -9,6 +9,8 @@
 #include "control/control_state.h"
 #include "control/entry_instance_table.h"
 #include "control/grpc_peer_transport.h"
+#include "control/listing_follower.h"
+#include "control/listing_link_service.h"
 #include "control/node_sync_service.h"
 #include "control/routing_service.h"
 #include "control/upstream_list_reader.h"
@@ -60,9 +62,12 @@
     entry_instance_table m_entryInstances;
     upstream_list_reader m_listReader;
     node_sync_service m_syncService;
+    listing_link_service m_listingLinkService;
+    listing_follower m_listFollower;
     routing_service m_routing;
     std::unique_ptr<grpc::Server> m_server;
     periodic_thread m_listReadThread;
+    periodic_thread m_listFollowThread;
 };
 
 } // namespace buckthorngrade
--- a/src/control/grpc_peer_transport.h
+++ b/src/control/grpc_peer_transport.h
@@ -3,6 +3,7 @@
 #include "agreement/peer_transport.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "control/peer_channel.h"
 #include "link.grpc.pb.h"
 
 #include <atomic>
@@ -16,9 +17,6 @@
 
 namespace buckthorngrade {
 
-// Largest gRPC message, to be set on the server and on the channels.
-inline constexpr int maxPeerMessageBytes = 4 << 20;
-
 // Sends the replicas' messages over gRPC. Each peer has a bounded queue, a sender thread and one
 // client stream. A stream that fails is reopened after a delay that doubles up to `maxRetryDelay`.
 class grpc_peer_transport final : public peer_transport
--- a/src/control/listing_history.h
+++ b/src/control/listing_history.h
@@ -16,6 +16,10 @@
 // The list of upstreams that a control instance has, with its recent changes. An entry instance
 // that has a recent version of the list is sent only the difference.
 //
+// One control instance reads the list, and the others copy its versions. An entry instance that
+// turns to another control instance, or a control instance that becomes the reader, then continues
+// from a version that both know, so that no complete list is sent.
+//
 // Each change of the list makes a version with a new number. Each entry stores the number of the
 // version that changed it last, so the difference from an earlier version consists of the entries
 // with a greater number. Merging a page takes time in proportion to the page, and an answer takes
@@ -54,6 +58,14 @@
     // list in turn, the whole lists would saturate links of low bandwidth.
     void addUpdate(const wire::node_report &report, steady_time now, wire::node_view &view) const;
 
+    // Returns the versions after `digest`, for another control instance, or the complete list if
+    // that version is not among the latest.
+    wire::listing_changes changesSince(std::uint64_t digest, steady_time now) const;
+    // Applies the changes of another control instance's list, which was read at `readAt`. Ignores a
+    // list that is older than this one, and changes of another version than this one. Returns true
+    // if the list has changed. Throws control_error if the changes are malformed.
+    bool follow(const wire::listing_changes &changes, steady_time readAt);
+
 private:
     struct item
     {
@@ -77,7 +89,10 @@
     std::string mergeEntries(const upstream_listing &page);
     std::string removeAbsent(const upstream_listing &listing);
     bool finishVersion(steady_time readAt, const std::string &changes);
-    void encodeItem(const item &known, wire::node_view &view) const;
+    // Adds a version and forgets the oldest one beyond the limit.
+    void addVersion(std::uint64_t digest);
+    void encodeItem(const item &known, wire::node_upstream &message) const;
+    bool replaceFollowed(const wire::listing_changes &changes, steady_time readAt);
 
     std::map<std::string, item> m_items; // keyed by id
     steady_time m_readAt{};
--- a/src/control/node_sync_service.cc
+++ b/src/control/node_sync_service.cc
@@ -25,7 +25,8 @@
         if (member.voter)
             view->add_voters(member.id);
     view->set_routing_version(m_state.routingVersion());
-    if (report->wants_details() && view->routing_version() > report->routing_version()) {
+    if ((report->wants_details() || report->wants_routing())
+        && view->routing_version() > report->routing_version()) {
         wire::put_routing routing = m_state.routing();
         view->set_routing_version(routing.version());
         view->set_routing_text(std::move(*routing.mutable_text()));
@@ -37,7 +38,8 @@
             view->add_evacuated(domain);
     if (report->wants_details())
         addInstances(now, *view);
-    m_listReader.addUpdate(*report, now, *view);
+    if (!report->omits_listing())
+        m_listReader.addUpdate(*report, now, *view);
     return grpc::Status::OK;
 }
 
--- a/src/control/upstream_list_reader.cc
+++ b/src/control/upstream_list_reader.cc
@@ -33,7 +33,8 @@
         readList();
         m_reads.add();
         const std::lock_guard lock(m_mutex);
-        logListingIf(m_isFailing);
+        if (m_isFailing)
+            logListing();
         m_isFailing = false;
     } catch (const control_error &failure) {
         m_failures.add();
@@ -61,12 +62,12 @@
                                       page.upstreams.end());
         const std::lock_guard lock(m_mutex);
         if (isRecent)
-            logListingIf(m_history.merge(page));
+            announceIf(m_history.merge(page));
     };
     m_source.read(m_readsByDomain ? m_domains : std::vector<std::string>(), takePage);
     chooseReadMode(pages, largestPage, completeList.upstreams.size());
     const std::lock_guard lock(m_mutex);
-    logListingIf(isRecent ? m_history.keepOnly(completeList) : m_history.add(completeList));
+    announceIf(isRecent ? m_history.keepOnly(completeList) : m_history.add(completeList));
 }
 
 void upstream_list_reader::chooseReadMode(std::size_t pages, std::size_t largestPage,
@@ -79,12 +80,18 @@
     m_readsByDomain = m_pageSize > 0 && upstreams > maxSequentialPages * m_pageSize;
 }
 
-// Requires that m_mutex is held.
-void upstream_list_reader::logListingIf(bool condition)
+void upstream_list_reader::announceIf(bool hasChanged)
 {
-    if (condition)
-        m_events.write(event_id::listing_changed,
-                       {{"upstreams", m_history.upstreamCount()}, {"digest", m_history.digest()}});
+    if (!hasChanged)
+        return;
+    logListing();
+    m_changed.notify_all();
+}
+
+void upstream_list_reader::logListing()
+{
+    m_events.write(event_id::listing_changed,
+                   {{"upstreams", m_history.upstreamCount()}, {"digest", m_history.digest()}});
 }
 
 void upstream_list_reader::addUpdate(const wire::node_report &report, steady_time now,
@@ -94,4 +101,24 @@
     m_history.addUpdate(report, now, view);
 }
 
+wire::listing_changes upstream_list_reader::waitForChanges(std::uint64_t digest,
+                                                           std::chrono::milliseconds hold)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, hold, [&] { return m_history.digest() != digest; });
+    return m_history.changesSince(digest, m_clock.now());
+}
+
+void upstream_list_reader::follow(const wire::listing_changes &changes, steady_time readAt)
+{
+    const std::lock_guard lock(m_mutex);
+    announceIf(m_history.follow(changes, readAt));
+}
+
+std::uint64_t upstream_list_reader::digest() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_history.digest();
+}
+
 } // namespace buckthorngrade
--- a/src/control/upstream_list_reader.h
+++ b/src/control/upstream_list_reader.h
@@ -8,6 +8,7 @@
 #include "model/upstream_listing.h"
 
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -48,13 +49,23 @@
     void run();
     // Adds to `view` the changes of the list that the reporting entry instance lacks. Thread-safe.
     void addUpdate(const wire::node_report &report, steady_time now, wire::node_view &view) const;
+    // Returns the versions of the list after `digest`. If there are none, waits for one for up to
+    // `hold`. Thread-safe.
+    wire::listing_changes waitForChanges(std::uint64_t digest, std::chrono::milliseconds hold);
+    // Applies changes of the list of another control instance, which was read at `readAt`.
+    // Thread-safe. Throws control_error if they are malformed.
+    void follow(const wire::listing_changes &changes, steady_time readAt);
+    // Returns the digest of the current list, 0 if there is none. Thread-safe.
+    std::uint64_t digest() const;
 
 private:
     void readList();
     // Chooses between sequential and concurrent reading for the next read. The arguments describe
     // the last read.
     void chooseReadMode(std::size_t pages, std::size_t largestPage, std::size_t upstreams);
-    void logListingIf(bool condition);
+    // Logs a change of the list and wakes up those that wait for it. Requires that m_mutex is held.
+    void announceIf(bool hasChanged);
+    void logListing();
 
     // A voter starts to read the list after this time without contact with a leader.
     static constexpr std::chrono::milliseconds leaderlessDelay{600};
@@ -79,6 +90,7 @@
     bool m_readsByDomain = true; // true at first, because the length of the list is unknown
     std::size_t m_pageSize = 0; // upstreams on a full page; 0 if unknown
     mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
     listing_history m_history;
 };
 
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -67,8 +67,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a planned stop that takes requests late in its grace period, forwards them, and
-    // closes their connections without a response when the period ends.
+    // Guards against a planned stop that takes requests late in its grace period, forwards them,
+    // and closes their connections without a response when the period ends.
     void stoppingInstanceAnswersEveryRequestThatItReads()
     {
         loop_thread thread;
@@ -133,10 +133,10 @@
                     try {
                         http_connection connection(
                             Poco::Net::StreamSocket(Poco::Net::SocketAddress(entryPort.address())));
-                        connection.send(fmt::format(
-                            "POST /once/x HTTP/1.1\r\nHost: test\r\n{}: id-{}-{}\r\n"
-                            "Content-Length: 1\r\n\r\nx",
-                            headerNames.requestId, caller, i));
+                        connection.send(
+                            fmt::format("POST /once/x HTTP/1.1\r\nHost: test\r\n{}: id-{}-{}\r\n"
+                                        "Content-Length: 1\r\n\r\nx",
+                                        headerNames.requestId, caller, i));
                         isSent = true;
                         Poco::Net::HTTPResponse response;
                         if (!connection.readHead(response)) {
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -279,9 +279,9 @@
     // the connection as a complete response.
     void responseCutWithinHeadIsNotForwarded()
     {
-        const std::string head = fmt::format(
-            "HTTP/1.1 200 OK\r\n{}: id\r\n{}: s\r\nContent-Length: 4\r\n\r\n",
-            headerNames.requestId, headerNames.seal);
+        const std::string head
+            = fmt::format("HTTP/1.1 200 OK\r\n{}: id\r\n{}: s\r\nContent-Length: 4\r\n\r\n",
+                          headerNames.requestId, headerNames.seal);
         for (std::size_t length = 1; length < head.size(); ++length) {
             for (const bool resets : {false, true}) {
                 proxy_fixture system({[&](const std::string &) {
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -4,9 +4,13 @@
 #include "testing/wait.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <grpcpp/client_context.h>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
 
 #include <fmt/format.h>
 
+#include <atomic>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -31,14 +35,21 @@
     }
 };
 
-class fixed_list final : public listing_source
+// A list of 100 upstreams that all readers share.
+class common_list final : public listing_source
 {
 public:
     void read(const std::vector<std::string> &, const page_handler &onPage) override
     {
-        onPage(
-            {std::chrono::steady_clock::now(), {{"u", "s", "1.2.3.4:5", "d", 1, false, 0ms, 0}}});
+        upstream_listing list;
+        list.readAt = std::chrono::steady_clock::now();
+        for (int i = 0; i < 100; ++i)
+            list.upstreams.push_back({fmt::format("u{:03}", i), "s", "1.2.3.4:5", "d", 1,
+                                      i == drainingUpstream, 0ms, 0});
+        onPage(list);
     }
+
+    std::atomic<int> drainingUpstream = -1; // -1: none
 };
 
 // A deployment of control instances at the addresses 127.0.1.N, all with the same port.
@@ -103,6 +114,21 @@
             m_nodes, [](const auto &item) { return item.second->view().isLeader; }));
     }
     control_node &node(int number) { return *m_nodes.at(number); }
+    common_list &list() { return m_list; }
+    // Sends the report of an entry instance to a control instance.
+    wire::node_view sync(int number, const wire::node_report &report) const
+    {
+        const auto channel
+            = grpc::CreateChannel(fmt::format("{}:{}", hostOf(number), m_port.number()),
+                                  grpc::InsecureChannelCredentials());
+        const auto stub = wire::node_link::NewStub(channel);
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + 30s);
+        context.set_wait_for_ready(true);
+        wire::node_view view;
+        CPPUNIT_ASSERT(stub->Sync(&context, report, &view).ok());
+        return view;
+    }
 
 private:
     std::filesystem::path folderOf(int number) const
@@ -114,7 +140,7 @@
     free_port m_port;
     temp_folder m_folder;
     number_codec m_codec;
-    fixed_list m_list;
+    common_list m_list;
     system_clock_source m_clock;
     null_event_log m_events;
     std::map<int, metric_registry> m_metrics;
@@ -131,6 +157,8 @@
     CPPUNIT_TEST(instanceWithEmptyFolderRejoinsWithoutDataLoss);
     CPPUNIT_TEST(joinsThroughSeedsThatDoNotLead);
     CPPUNIT_TEST(routingChangesReportTheirOutcome);
+    CPPUNIT_TEST(allInstancesSendTheSameVersionsOfTheList);
+    CPPUNIT_TEST(partsThatAreNotWantedAreOmitted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -218,6 +246,61 @@
         CPPUNIT_ASSERT(all.node(1).state().evacuated().domains.empty());
         CPPUNIT_ASSERT(all.node(1).state().evacuated().revision > revision);
     }
+
+    // Guards against complete lists for entry instances that turn to another control instance, also
+    // after the leader was lost.
+    void allInstancesSendTheSameVersionsOfTheList()
+    {
+        control_group all({1, 2, 3});
+        const std::vector<int> numbers{1, 2, 3};
+        for (const int number : numbers)
+            all.start(number, true);
+        waitUntil("all have a vote", [&] { return all.areVoters(numbers); });
+        wire::node_report report;
+        const auto digestOf = [&](int number) { return all.sync(number, report).listing_digest(); };
+        const auto haveOneVersion = [&](const std::vector<int> &instances) {
+            return std::ranges::all_of(instances, [&](int number) {
+                const std::uint64_t digest = digestOf(number);
+                return digest != 0 && digest == digestOf(instances.front());
+            });
+        };
+        waitUntil("all have the list", [&] { return haveOneVersion(numbers); });
+        report.set_listing_digest(digestOf(1));
+        report.set_listing_age_ms(60'000);
+        const int leader = *std::ranges::find_if(
+            numbers, [&](int number) { return all.node(number).view().isLeader; });
+        all.stop(leader);
+        all.list().drainingUpstream = 42;
+        std::vector<int> rest;
+        std::ranges::copy_if(numbers, std::back_inserter(rest),
+                             [&](int number) { return number != leader; });
+        for (const int number : rest)
+            waitUntil("the change has arrived", [&] {
+                const wire::node_view view = all.sync(number, report);
+                CPPUNIT_ASSERT(view.upstreams_size() <= 1);
+                return view.upstreams_size() == 1 && view.upstreams(0).id() == "u042"
+                    && view.listing_base() == report.listing_digest();
+            });
+    }
+
+    void partsThatAreNotWantedAreOmitted()
+    {
+        control_group all({1});
+        all.start(1, true);
+        all.put("7");
+        wire::node_report report;
+        report.set_instance("entry-1");
+        waitUntil("the list is there", [&] { return all.sync(1, report).upstreams_size() == 100; });
+        report.set_omits_listing(true);
+        CPPUNIT_ASSERT_EQUAL(0, all.sync(1, report).upstreams_size());
+        CPPUNIT_ASSERT_EQUAL(std::string(), all.sync(1, report).routing_text());
+        report.set_wants_routing(true);
+        const wire::node_view withRouting = all.sync(1, report);
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), withRouting.routing_text());
+        CPPUNIT_ASSERT_EQUAL(0, withRouting.entries_size());
+        report.set_wants_details(true);
+        CPPUNIT_ASSERT_EQUAL(1, all.sync(1, report).entries_size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(control_node_test);
