Log refused and failed attempts before the upstream is released

Cause: the line attempt_failed was written after the upstream of the attempt had been released and was then left out, so that the log of a request that ended with "upstream refused" did not show which upstreams refused it. Change: the line is written first. Result: failedAttemptsAreLoggedWithTheirUpstream, failing before.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -369,13 +369,14 @@
     } else {
         upstream.restarts.recordResponse(m_client->connectedAt(), now);
     }
+    if (isFailure)
+        logFailedAttempt(notRun ? "not run" : "failed");
     releaseUpstream();
     if (m_isFinished) {
         m_proxy.m_loop.cancel(m_timeoutTimer);
         return;
     }
     if (notRun) {
-        logFailedAttempt("not run");
         retryOrRespond(unavailable, "upstream refused", true);
         return;
     }
@@ -383,7 +384,6 @@
         = status == unavailable || status == tooManyRequests || status == requestTimeout;
     if (status >= firstServerError || impliesNotRun) {
         m_mayHaveRun = true;
-        logFailedAttempt("failed");
         if (m_route->kind == request_kind::idempotent && mayRetry(true)) {
             startAttempt();
             return;
--- a/tests/carrier/proxy_fixture.h
+++ b/tests/carrier/proxy_fixture.h
@@ -60,8 +60,11 @@
 class proxy_fixture
 {
 public:
-    explicit proxy_fixture(std::vector<scripted_server::script> scripts)
-        : m_proxy(m_thread.loop(), m_settings, headerNames, m_peers, m_events, m_metrics)
+    // `events` must outlive this object.
+    explicit proxy_fixture(std::vector<scripted_server::script> scripts,
+                           event_log &events = discardedEvents())
+        : m_events(events)
+        , m_proxy(m_thread.loop(), m_settings, headerNames, m_peers, m_events, m_metrics)
         , m_server(m_thread.loop(), {"127.0.0.1", 0}, serverOptions(),
                    [this](const exchange_pointer &exchange) { m_proxy.handle(exchange); })
     {
@@ -141,11 +144,17 @@
     std::vector<std::unique_ptr<scripted_server>> upstreams;
 
 private:
+    static event_log &discardedEvents()
+    {
+        static null_event_log events;
+        return events;
+    }
+
     loop_thread m_thread;
     const node_settings m_settings = nodeSettings();
     std::vector<peer_instance> m_reportedInstances = {{"entry-1", "r"}};
     peer_view m_peers{"entry-1"};
-    null_event_log m_events;
+    event_log &m_events;
     metric_registry m_metrics;
     upstream_listing m_listing;
     reverse_proxy m_proxy;
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -9,8 +9,13 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
+#include <mutex>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 using namespace buckthorngrade;
 using namespace std::chrono_literals;
@@ -27,6 +32,29 @@
     void writeLine(std::string_view) override { ++lines; }
 };
 
+class line_recorder final : public event_log
+{
+public:
+    bool contains(std::string_view text) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::ranges::any_of(
+            m_lines, [text](const std::string &line) { return line.find(text) != line.npos; });
+    }
+
+protected:
+    bool isEnabled(log_level) const override { return true; }
+    void writeLine(std::string_view line) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lines.emplace_back(line);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_lines;
+};
+
 std::string uploadHead(bool isChunked, std::size_t size)
 {
     return fmt::format(
@@ -66,6 +94,7 @@
     CPPUNIT_TEST(unlistedUpstreamMayStillRespond);
     CPPUNIT_TEST(malformedRequestLogIsRateLimited);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
+    CPPUNIT_TEST(failedAttemptsAreLoggedWithTheirUpstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -500,6 +529,23 @@
         system.thread().call([&] { system.proxy().setRouting(nullptr); });
         CPPUNIT_ASSERT_EQUAL(503, system.send("/safe/x").status);
     }
+
+    // Guards against attempts whose reason can't be found afterwards: they were logged after the
+    // upstream had been released, and so not at all.
+    void failedAttemptsAreLoggedWithTheirUpstream()
+    {
+        line_recorder events;
+        proxy_fixture system({refuse}, events);
+        CPPUNIT_ASSERT_EQUAL(503, system.send("/once/x", "refused", "c").status);
+        CPPUNIT_ASSERT(
+            events.contains("id=refused upstream=u0 domain=d outcome=\"not run\" attempt=1"));
+        proxy_fixture failing({[](const std::string &request) {
+                                  return scripted_answer{scriptedResponse(500, echo(request), "e")};
+                              }},
+                              events);
+        CPPUNIT_ASSERT_EQUAL(500, failing.send("/once/x", "failed", "c").status);
+        CPPUNIT_ASSERT(events.contains("id=failed upstream=u0 domain=d outcome=failed attempt=1"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(reverse_proxy_test);
