Don't count attempts at replaced upstreams towards a route's maximum

Cause: when the addresses of many upstreams are taken over by another service, each of two attempts met a replaced upstream (421), and the request was refused although others of its service were free. Change: such an attempt counts as one that reached no upstream (four at most), and still takes from the retry budget, because it arrives somewhere. Result: replacedUpstreamsDoNotUseUpAttempts, failing before.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -377,14 +377,18 @@
         return;
     }
     if (notRun) {
-        retryOrRespond(unavailable, "upstream refused", true);
+        const bool isMisdirected = status == misdirected;
+        if (isMisdirected)
+            --m_attempts;
+        retryOrRespond(unavailable, "upstream refused",
+                       isMisdirected ? attempt_reach::other_process : attempt_reach::upstream);
         return;
     }
     const bool impliesNotRun
         = status == unavailable || status == tooManyRequests || status == requestTimeout;
     if (status >= firstServerError || impliesNotRun) {
         m_mayHaveRun = true;
-        if (m_route->kind == request_kind::idempotent && mayRetry(true)) {
+        if (m_route->kind == request_kind::idempotent && mayRetry(attempt_reach::upstream)) {
             startAttempt();
             return;
         }
@@ -427,7 +431,8 @@
         respondLocally(badGateway, "outcome unknown");
         return;
     }
-    retryOrRespond(m_mayHaveRun ? badGateway : unavailable, "upstreams failed", reachedUpstream);
+    retryOrRespond(m_mayHaveRun ? badGateway : unavailable, "upstreams failed",
+                   reachedUpstream ? attempt_reach::upstream : attempt_reach::nothing);
 }
 
 void proxied_request::handleConnectTimeout()
@@ -438,20 +443,23 @@
     handleFailure(call_failure::not_connected);
 }
 
-bool proxied_request::mayRetry(bool reachedUpstream)
+bool proxied_request::mayRetry(attempt_reach reached)
 {
     if (timeLeft().count() <= 0 || m_exchange->isCallerGone())
         return false;
-    if (!reachedUpstream)
-        return ++m_unreachedAttempts < maxUnreachedAttempts;
-    return m_attempts < std::max(1U, m_route->maxAttempts)
+    const bool hasAttemptsLeft = reached == attempt_reach::upstream
+        ? m_attempts < std::max(1U, m_route->maxAttempts)
+        : ++m_unreachedAttempts < maxUnreachedAttempts;
+    if (reached == attempt_reach::nothing)
+        return hasAttemptsLeft;
+    return hasAttemptsLeft
         && m_proxy.stateOf(m_service).budget.tryRetry(m_proxy.m_loop.now(),
                                                       m_proxy.retryAllowanceSharers());
 }
 
-void proxied_request::retryOrRespond(int status, const char *reason, bool reachedUpstream)
+void proxied_request::retryOrRespond(int status, const char *reason, attempt_reach reached)
 {
-    if (mayRetry(reachedUpstream))
+    if (mayRetry(reached))
         startAttempt();
     else
         respondLocally(m_mayHaveRun && status == unavailable ? badGateway : status, reason);
--- a/src/carrier/proxied_request.h
+++ b/src/carrier/proxied_request.h
@@ -36,10 +36,17 @@
     void handleTimeout();
     void handleCallerGone();
     bool isNotRun(const client_response &response) const;
-    // Returns whether another attempt may be made. If the last attempt reached an upstream, this
-    // takes the retry from the retry budget.
-    bool mayRetry(bool reachedUpstream);
-    void retryOrRespond(int status, const char *reason, bool reachedUpstream);
+    // What the last attempt reached.
+    enum class attempt_reach {
+        nothing, // no connection, or nothing of the request was sent
+        other_process, // the address belongs to another upstream by now, which did not run it
+        upstream
+    };
+    // Returns whether another attempt may be made. Takes the retry from the retry budget if the
+    // last attempt reached a process. Only attempts that reached an upstream of the service count
+    // towards the route's maximum.
+    bool mayRetry(attempt_reach reached);
+    void retryOrRespond(int status, const char *reason, attempt_reach reached);
     void forwardResponse(const client_response &response);
     // Sends a response of the entry instance itself.
     void respondLocally(int status, const char *reason);
@@ -75,7 +82,7 @@
     bool m_isChunked = false; // the body is sent to the upstream with chunked transfer encoding
     std::set<std::string> m_tried;
     std::uint32_t m_attempts = 0; // requests sent to upstreams
-    std::uint32_t m_unreachedAttempts = 0; // attempts that reached no upstream
+    std::uint32_t m_unreachedAttempts = 0; // attempts that reached no upstream of the service
     bool m_mayHaveRun = false;
     bool m_isFinished = false;
     event_loop::timer_id m_timeoutTimer = 0;
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(timeoutAfterSendingGives504);
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
     CPPUNIT_TEST(replacedUpstreamGetsNoMoreRequests);
+    CPPUNIT_TEST(replacedUpstreamsDoNotUseUpAttempts);
     CPPUNIT_TEST(drainingAndEvacuatedUpstreamsGetNoRequests);
     CPPUNIT_TEST(coldUpstreamStaysWithinItsRate);
     CPPUNIT_TEST(routeStaysInItsHomeRegions);
@@ -372,6 +373,26 @@
         CPPUNIT_ASSERT(system.upstreams[0]->requests().size() <= 1);
     }
 
+    // Guards against refusing requests while others of the service have free slots: when the
+    // addresses of many upstreams are taken over at once, the attempts of a route were used up.
+    void replacedUpstreamsDoNotUseUpAttempts()
+    {
+        const scripted_server::script misdirected = [](const std::string &request) {
+            return scripted_answer{
+                scriptedResponse(421, echo(request) + headerNames.upstreamId + ": other\r\n", "")};
+        };
+        // Each object has another order of upstreams, so some objects meet all that are replaced.
+        for (int object = 0; object < 16; ++object) {
+            proxy_fixture system({misdirected, misdirected, misdirected, answerOk});
+            CPPUNIT_ASSERT_EQUAL(200,
+                                 system.send("/once/x", "id", "c", std::to_string(object)).status);
+        }
+        proxy_fixture allReplaced(
+            {misdirected, misdirected, misdirected, misdirected, misdirected});
+        CPPUNIT_ASSERT_EQUAL(503, allReplaced.send("/once/x", "id", "c").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, allReplaced.arrivals());
+    }
+
     void drainingAndEvacuatedUpstreamsGetNoRequests()
     {
         proxy_fixture system({answerOk, answerOk});
