Reject requests that a planned stop would cut off

Change: a request, or another attempt, whose expected time does not fit before the end of the stop is refused at once as not run, so that the caller turns to another instance. Result: stopRejectsRequestsThatWouldBeCutOff, which does not compile before.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -211,6 +211,7 @@
     m_server->announceStop();
     sendReports();
     const steady_time since = m_loop.now();
+    m_proxy.setStopTime(since + m_settings.stopLimit - stopMargin);
     m_loop.runAfter(rejectRequestsDelay, [this, since] {
         m_proxy.rejectNewRequests();
         m_server->stopAccepting();
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -322,3 +322,5 @@
 }
 
 } // namespace buckthorngrade
+    if (m_stopTime && now + placed.expected > *m_stopTime)
+        return {.upstream = nullptr, .reason = "stopping"};
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -55,6 +55,9 @@
     // Counts a request that was rejected as malformed, and logs it within the log's rate limit.
     void recordInvalidRequest(const std::string &reason);
     // Rejects all later requests.
+    // Sets the time at which requests in progress will be cut off. Requests, and further attempts,
+    // that are not expected to end before it are rejected.
+    void setStopTime(steady_time time) { m_stopTime = time; }
     void rejectNewRequests() { m_isStopping = true; }
 
     const route_table *routes() const { return m_routes.get(); }
@@ -124,3 +127,4 @@
 };
 
 } // namespace buckthorngrade
+    std::optional<steady_time> m_stopTime;
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(malformedRequestLogIsRateLimited);
     CPPUNIT_TEST(unknownRouteAndMissingDocument);
     CPPUNIT_TEST(failedAttemptsAreLoggedWithTheirUpstream);
+    CPPUNIT_TEST(stopRejectsRequestsThatWouldBeCutOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -567,6 +568,27 @@
         CPPUNIT_ASSERT_EQUAL(500, failing.send("/once/x", "failed", "c").status);
         CPPUNIT_ASSERT(events.contains("id=failed upstream=u0 domain=d outcome=failed attempt=1"));
     }
+
+    // Guards against a stopping instance that forwards requests when there is no time for their
+    // work before it ends and cuts them off.
+    void stopRejectsRequestsThatWouldBeCutOff()
+    {
+        proxy_fixture system({[](const std::string &request) {
+            scripted_answer answer = answerOk(request);
+            answer.delay = 200ms;
+            return answer;
+        }});
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "id", "c").status);
+        const auto stopAfter = [&](std::chrono::milliseconds time) {
+            system.thread().call(
+                [&] { system.proxy().setStopTime(system.thread().loop().now() + time); });
+        };
+        stopAfter(100ms);
+        CPPUNIT_ASSERT_EQUAL(503, system.send("/once/x", "id", "c").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, system.arrivals());
+        stopAfter(60s);
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "id", "c").status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(reverse_proxy_test);
