Derive the connect timeout from recent connection attempts

Cause: an upstream that became unreachable was given up after 677 ms, or 977 ms in another region, because an attempt may wait for two uploads on the instance's link. That is most of a latency target of 800 ms, also when the link is idle. Change: the timeout follows the mean and deviation of successful attempts of the last seconds, separately for the own and other regions, between the network's part of the old timeout and the old timeout.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -24,12 +24,6 @@
 constexpr std::chrono::milliseconds defaultDeadline{30'000}; // if the request has no deadline field
 // The caller closes its connection at the deadline, so the response must arrive before it.
 constexpr std::chrono::milliseconds deadlineMargin{20};
-// A connect timeout is several times the longest round trip, because TCP retransmits a lost packet
-// only after a second or more. Handshake packets queue behind bodies on the instance's link, so the
-// transmission time of this many bytes (two large uploads) is added.
-constexpr double connectQueueBytes = 128 << 10;
-constexpr std::chrono::milliseconds sameRegionConnectTimeout{150};
-constexpr std::chrono::milliseconds crossRegionConnectTimeout{450};
 constexpr std::uint32_t maxUnreachedAttempts = 4;
 constexpr std::uint64_t maxResponseBytes = 16U << 20;
 // Longest idle time of a connection that is reused. The upstream is more likely to close a
@@ -243,7 +237,9 @@
             respondLocally(m_mayHaveRun ? badGateway : unavailable, "no descriptor");
             return;
         }
-        m_connectTimer = m_proxy.m_loop.runAfter(connectTimeout(), [self = shared_from_this()] {
+        const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(
+            m_proxy.connectTimeoutTo(*m_upstream).value(m_proxy.m_loop.now()));
+        m_connectTimer = m_proxy.m_loop.runAfter(timeout, [self = shared_from_this()] {
             self->m_connectTimer = 0;
             self->handleConnectTimeout();
         });
@@ -251,15 +247,6 @@
     send();
 }
 
-std::chrono::milliseconds proxied_request::connectTimeout() const
-{
-    const node_settings &settings = m_proxy.m_settings;
-    const auto networkTimeout = m_upstream->region == settings.region ? sameRegionConnectTimeout
-                                                                      : crossRegionConnectTimeout;
-    const std::chrono::duration<double> queueDelay(connectQueueBytes / settings.linkBytesPerSecond);
-    return networkTimeout + std::chrono::ceil<std::chrono::milliseconds>(queueDelay);
-}
-
 void proxied_request::send()
 {
     m_sentAt = m_proxy.m_loop.now();
@@ -277,8 +264,7 @@
             const std::string *echoed = head.find(m_proxy.m_headerNames.requestId);
             return echoed == nullptr || *echoed == m_id;
         };
-    if (m_choice.coldPermit.isHeld())
-        call.onSent = [self = shared_from_this()] { self->recordColdRequestSent(); };
+    call.onSent = [self = shared_from_this()] { self->handleSent(); };
     call.onResponse = [self = shared_from_this()](const client_response &response) {
         self->handleResponse(response);
     };
@@ -582,11 +568,19 @@
     m_exchange->onBody = nullptr;
 }
 
-void proxied_request::recordColdRequestSent()
+void proxied_request::handleSent()
 {
     if (!m_upstream)
         return;
     const steady_time now = m_proxy.m_loop.now();
+    if (!m_isReused)
+        m_proxy.connectTimeoutTo(*m_upstream).record(now - m_sentAt, now);
+    if (m_choice.coldPermit.isHeld())
+        recordColdRequestSent(now);
+}
+
+void proxied_request::recordColdRequestSent(steady_time now)
+{
     m_choice.coldPermit.recordSent(now);
     m_proxy.m_metrics.counter("buckthorngrade_cold_requests_total").add();
     if (m_proxy.m_log.shouldLog(event_id::cold_request_sent))
--- a/src/carrier/proxied_request.h
+++ b/src/carrier/proxied_request.h
@@ -52,7 +52,6 @@
     void respondLocally(int status, const char *reason);
     void finish();
     void releaseUpstream();
-    std::chrono::milliseconds connectTimeout() const;
     std::string encode(std::chrono::milliseconds left) const;
     // Returns the received body from offset `from`, encoded as it is sent to the upstream.
     std::string encodeBody(std::size_t from) const;
@@ -60,8 +59,9 @@
     void forwardBody();
     std::chrono::milliseconds timeLeft() const;
     void logFailedAttempt(std::string_view outcome);
-    // Called when the first byte of a request to a cold upstream was sent.
-    void recordColdRequestSent();
+    // Called when the first byte of a request was sent.
+    void handleSent();
+    void recordColdRequestSent(steady_time now);
 
     reverse_proxy &m_proxy;
     exchange_pointer m_exchange;
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -37,6 +37,20 @@
 // change region for other reasons.
 constexpr double usableShiftShare = 0.33;
 
+// Bounds of the connect timeout. The lower ones are several times the longest round trip, because
+// TCP retransmits a lost packet only after a second or more. Handshake packets queue behind bodies
+// on the instance's link, so the upper ones add the transmission time of two large uploads.
+constexpr std::chrono::milliseconds sameRegionConnectTimeout{150};
+constexpr std::chrono::milliseconds crossRegionConnectTimeout{450};
+constexpr double connectQueueBytes = 128 << 10;
+
+connect_timeout connectTimeoutWithin(std::chrono::milliseconds networkTimeout,
+                                     const node_settings &settings)
+{
+    const std::chrono::duration<double> queueDelay(connectQueueBytes / settings.linkBytesPerSecond);
+    return connect_timeout(networkTimeout, networkTimeout + queueDelay);
+}
+
 // Returns the longest expected response time with which a request is still forwarded. A request
 // that would take longer uses slots of requests that can meet their latency target. Urgent requests
 // are worth more, so their limit is higher.
@@ -72,6 +86,8 @@
     , m_metrics(metrics)
     , m_upstreams(loop, settings.regionOfDomain, events)
     , m_peers(peers)
+    , m_sameRegionConnect(connectTimeoutWithin(sameRegionConnectTimeout, settings))
+    , m_crossRegionConnect(connectTimeoutWithin(crossRegionConnectTimeout, settings))
     , m_random(hashOf(settings.name))
 {
     loop.runEvery(shareUpdatePeriod, [this] { updateShares(); });
@@ -165,6 +181,11 @@
     return std::chrono::duration<double, std::milli>(0);
 }
 
+connect_timeout &reverse_proxy::connectTimeoutTo(const upstream_state &upstream)
+{
+    return upstream.region == m_settings.region ? m_sameRegionConnect : m_crossRegionConnect;
+}
+
 double reverse_proxy::runningRequests(const upstream_state &upstream) const
 {
     const double networkMs = networkLatencyTo(upstream).count();
@@ -309,6 +330,8 @@
     // requests would not shorten it.
     if (placed.isFull && placed.expected > admissionLimit(route, request.latencyTarget))
         return {.upstream = nullptr, .reason = "overloaded"};
+    if (m_stopTime && now + placed.expected > *m_stopTime)
+        return {.upstream = nullptr, .reason = "stopping"};
     cold_start_permit permit;
     if (const auto cold = coldShares.find(chosen);
         cold != coldShares.end() && chosen->coldGate->tryReserve(now, cold->second))
@@ -322,5 +345,3 @@
 }
 
 } // namespace buckthorngrade
-    if (m_stopTime && now + placed.expected > *m_stopTime)
-        return {.upstream = nullptr, .reason = "stopping"};
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -10,6 +10,7 @@
 #include "model/node_settings.h"
 #include "net/http_server.h"
 #include "steering/cold_start_limiter.h"
+#include "steering/connect_timeout.h"
 #include "steering/peer_view.h"
 #include "steering/region_share.h"
 #include "steering/shared_retry_budget.h"
@@ -54,10 +55,10 @@
     void setRegionLoads(const std::vector<wire::region_load> &loads);
     // Counts a request that was rejected as malformed, and logs it within the log's rate limit.
     void recordInvalidRequest(const std::string &reason);
-    // Rejects all later requests.
     // Sets the time at which requests in progress will be cut off. Requests, and further attempts,
     // that are not expected to end before it are rejected.
     void setStopTime(steady_time time) { m_stopTime = time; }
+    // Rejects all later requests.
     void rejectNewRequests() { m_isStopping = true; }
 
     const route_table *routes() const { return m_routes.get(); }
@@ -96,6 +97,7 @@
     void recordServiceTime(upstream_state &upstream, std::chrono::milliseconds time);
     service_state &stateOf(const std::string &service);
     void updateShares();
+    connect_timeout &connectTimeoutTo(const upstream_state &upstream);
     // Estimated network time of a request and its response.
     std::chrono::duration<double, std::milli>
     networkLatencyTo(const upstream_state &upstream) const;
@@ -121,10 +123,12 @@
     std::map<std::string, service_state> m_services;
     // Requests of all entry instances, by service and region.
     std::map<std::pair<std::string, std::string>, double> m_regionLoads;
+    connect_timeout m_sameRegionConnect;
+    connect_timeout m_crossRegionConnect;
     std::unordered_set<proxied_request *> m_activeRequests;
     std::mt19937_64 m_random;
+    std::optional<steady_time> m_stopTime;
     bool m_isStopping = false;
 };
 
 } // namespace buckthorngrade
-    std::optional<steady_time> m_stopTime;
