--- a/src/carrier/details_host_selector.cc
+++ b/src/carrier/details_host_selector.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace buckthorngrade {
 
@@ -36,11 +37,11 @@
         m_avoidedUntil.clear();
         candidates = responding;
     }
-    const std::string next = nearest(candidates);
+    std::string next = nearest(candidates);
     if (next != m_selected)
         m_usefulAt = now;
-    m_selected = next;
-    return next;
+    m_selected = std::move(next);
+    return m_selected;
 }
 
 } // namespace buckthorngrade
