review: case 1 as a script, too

Four of five control processes replaced one after the other: reads of the configuration are answered after three replacements and never after the fourth.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 mkdir -p target/review
 for source in review/*/case.cc; do
     name=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review/stand-in \
-        "$source" review/stand-in/stand_in.cc -o "target/review/case-$name"
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review \
+        "$source" review/stand_in.cc -o "target/review/case-$name"
 done
--- a/review/stand-in/stand_in.cc
+++ b/review/stand_in.cc
@@ -338,9 +338,12 @@
 {
     const auto port = [&](int offset) { return std::to_string(m_port + offset); };
     const bool isControl = of.role == "control";
+    // Three control instances that run. At the first start these are the first three for all.
     std::string seeds;
-    for (int i = 0; i < 3; ++i)
-        seeds += (i ? ", \"" : "\"") + controlAddress(controls[static_cast<std::size_t>(i)]) + "\"";
+    int named = 0;
+    for (const machine &each : controls)
+        if (!each.isGone && each.name != (isFirstStart ? "" : of.name) && named++ < 3)
+            seeds += (named > 1 ? ", \"" : "\"") + controlAddress(each) + "\"";
     const std::string listen = isControl
         ? "\"control\": \"" + of.host + ":" + port(0) + "\", \"directory\": \"" + of.host + ":"
             + port(1) + "\""
@@ -376,7 +379,7 @@
 
 void deployment::start(machine &started)
 {
-    const bool isFirstStart = started.pid == 0;
+    const bool isFirstStart = started.pid == 0 && !started.isSuccessor;
     writeSettings(started, isFirstStart);
     if (!started.dataFolder.empty())
         ::mkdir(started.dataFolder.c_str(), 0700);
@@ -414,6 +417,25 @@
                    + std::to_string(entries.size()) + " entry instances");
 }
 
+void deployment::replaceControl(std::size_t index)
+{
+    machine &old = controls[index];
+    ::kill(old.pid, SIGKILL);
+    ::waitpid(old.pid, nullptr, 0);
+    std::erase(m_started, old.pid);
+    old.isGone = true;
+    m_record.write(old.name + " at " + old.host + " is gone for good");
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const int number = static_cast<int>(controls.size()) + 1;
+    machine next{"core-" + std::to_string(number), "control", hostAt(number), old.zone,
+                 m_folder + "/core-" + std::to_string(number) + ".json",
+                 m_folder + "/data-" + std::to_string(number)};
+    next.isSuccessor = true;
+    controls.push_back(next);
+    start(controls.back());
+    m_record.write(next.name + " starts at " + next.host + " with an empty disk");
+}
+
 void deployment::signal(const machine &to, int number)
 {
     ::kill(to.pid, number);
@@ -437,7 +459,10 @@
 {
     const auto until = steady::now() + time;
     for (std::size_t attempt = 0; steady::now() < until; ++attempt) {
-        std::string address = controlAddress(controls[attempt % controls.size()]);
+        const machine &asked = controls[attempt % controls.size()];
+        if (asked.isGone)
+            continue;
+        std::string address = controlAddress(asked);
         for (int hop = 0; hop < 3; ++hop) {
             connection to;
             if (!to.open(address, milliseconds(1'000)))
--- a/review/stand-in/stand_in.h
+++ b/review/stand_in.h
@@ -107,10 +107,14 @@
         std::string settingsPath;
         std::string dataFolder;
         int pid = 0;
+        bool isGone = false;
+        bool isSuccessor = false; // takes the place of a machine that is gone
     };
 
     void startAll();
     void start(machine &started);
+    // Kills a control instance for good. Its successor starts 1 s later, at another address with an empty disk.
+    void replaceControl(std::size_t index);
     void signal(const machine &to, int number);
     // Waits until the process has ended. Returns whether it did within the time.
     bool waitForEnd(machine &ended, milliseconds time);
