--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
 // Four control machines are replaced, one at a time.
-#include "stand_in.h"
+#include "stand_in.hpp"
 
 #include <cstdlib>
 
@@ -23,14 +23,16 @@
         record.write("operator: PUT /v1/config, version 7, gets 200");
         system.waitUntilServing(host, prefix + "ready");
         std::this_thread::sleep_for(std::chrono::seconds(5));
-        // The group bears the loss of one machine; a successor counts 4 s (`catch_up`) after its start.
+        // The group bears the loss of one machine; a successor counts 4 s (`catch_up`) after its
+        // start.
         for (std::size_t i = 0; i < 4; ++i) {
             if (hasTrouble)
                 system.replaceControl(i);
             std::this_thread::sleep_for(std::chrono::seconds(i < 3 ? 12 : 8));
             if (i < 3) {
                 std::string read;
-                const int get = system.order("GET", "/v1/config", "", std::chrono::seconds(4), &read);
+                const int get
+                    = system.order("GET", "/v1/config", "", std::chrono::seconds(4), &read);
                 record.write("operator: GET /v1/config gets " + std::to_string(get)
                              + (read == sent ? ", what was sent" : ", not what was sent"));
             }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/*/case.cc; do
+for source in review/*/case.cpp; do
     name=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review \
-        "$source" review/stand_in.cc -o "target/review/case-$name"
+        "$source" review/stand_in.cpp -o "target/review/case-$name"
 done
--- a/review/stand_in.cc
+++ b/review/stand_in.cpp
@@ -1,4 +1,4 @@
-#include "stand_in.h"
+#include "stand_in.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -83,8 +83,8 @@
 
 bool message::has(const std::string &name) const
 {
-    return std::ranges::any_of(fields,
-                               [&](const auto &field) { return lower(field.first) == lower(name); });
+    return std::ranges::any_of(
+        fields, [&](const auto &field) { return lower(field.first) == lower(name); });
 }
 
 int message::status() const
@@ -220,7 +220,8 @@
             }
         }
     }
-    const std::size_t length = result.has("Content-Length") ? std::stoul(result.get("Content-Length")) : 0;
+    const std::size_t length
+        = result.has("Content-Length") ? std::stoul(result.get("Content-Length")) : 0;
     (void)isResponse;
     while (m_input.size() < length)
         if (!more())
@@ -246,7 +247,8 @@
             pollfd ready{m_descriptor, POLLIN, 0};
             if (::poll(&ready, 1, 100) != 1)
                 continue;
-            const int accepted = ::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+            const int accepted
+                = ::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
             if (accepted < 0)
                 continue;
             // The process ends by exit(), so the threads of connections need not be joined.
@@ -344,11 +346,10 @@
     for (const machine &each : controls)
         if (!each.isGone && each.name != (isFirstStart ? "" : of.name) && named++ < 3)
             seeds += (named > 1 ? ", \"" : "\"") + controlAddress(each) + "\"";
-    const std::string listen = isControl
-        ? "\"control\": \"" + of.host + ":" + port(0) + "\", \"directory\": \"" + of.host + ":"
-            + port(1) + "\""
-        : "\"front\": \"" + of.host + ":" + port(2) + "\", \"ready\": \"" + of.host + ":" + port(3)
-            + "\"";
+    const std::string listen = isControl ? "\"control\": \"" + of.host + ":" + port(0)
+            + "\", \"directory\": \"" + of.host + ":" + port(1) + "\""
+                                         : "\"front\": \"" + of.host + ":" + port(2)
+            + "\", \"ready\": \"" + of.host + ":" + port(3) + "\"";
     std::ofstream file(of.settingsPath, std::ios::trunc);
     file << "{\"node_name\": \"" << of.name << "\", \"role\": \"" << of.role
          << "\", \"machine_class\": \"" << (isControl ? "core" : "front") << "\", \"serves\": ["
@@ -356,8 +357,8 @@
          << "\", \"zone\": \"" << of.zone << "\", \"region\": \"" << of.zone.substr(0, 3)
          << "\", \"zones\": {\"akl-a\": \"akl\", \"akl-b\": \"akl\", \"wlg-a\": \"wlg\", "
             "\"wlg-b\": \"wlg\", \"chc-a\": \"chc\", \"chc-b\": \"chc\"}, \"listen\": {"
-         << listen << "}, \"internal_ports\": [" << port(4) << ", " << port(19)
-         << "], \"seeds\": [" << seeds << "], \"bootstrap\": " << (isFirstStart ? "true" : "false")
+         << listen << "}, \"internal_ports\": [" << port(4) << ", " << port(19) << "], \"seeds\": ["
+         << seeds << "], \"bootstrap\": " << (isFirstStart ? "true" : "false")
          << ", \"loss_counts\": " << (isControl ? "true" : "false")
          << ", \"limits\": {\"cpu_share\": 0.2, \"cores\": 1, \"memory_mb\": 260, \"max_fds\": "
             "4100, \"link_mbps\": 1000.0, \"disk_mb\": 256}, \"data_dir\": "
@@ -427,7 +428,10 @@
     m_record.write(old.name + " at " + old.host + " is gone for good");
     std::this_thread::sleep_for(std::chrono::seconds(1));
     const int number = static_cast<int>(controls.size()) + 1;
-    machine next{"core-" + std::to_string(number), "control", hostAt(number), old.zone,
+    machine next{"core-" + std::to_string(number),
+                 "control",
+                 hostAt(number),
+                 old.zone,
                  m_folder + "/core-" + std::to_string(number) + ".json",
                  m_folder + "/data-" + std::to_string(number)};
     next.isSuccessor = true;
@@ -622,7 +626,6 @@
 {
     const std::lock_guard lock(randomMutex);
     char text[20];
-    std::snprintf(text, sizeof text, "%016llx",
-                  static_cast<unsigned long long>(randomSource()()));
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(randomSource()()));
     return text;
 }
--- a/review/stand_in.h
+++ b/review/stand_in.hpp
@@ -1,5 +1,6 @@
-// Small stand-ins for the scripts of this folder: processes, the provider's list, backends, the operator and clients.
-// They need nothing but the C++ library. All addresses are loopback addresses.
+// Small stand-ins for the scripts of this folder: processes, the provider's list, backends, the
+// operator and clients. They need nothing but the C++ library. All addresses are loopback
+// addresses.
 #pragma once
 
 #include <atomic>
@@ -66,7 +67,8 @@
     bool send(const std::string &bytes);
     // Returns the number of bytes read, 0 at the end, -1 on an error or after the timeout.
     long read(char *buffer, std::size_t size, milliseconds timeout);
-    // Reads a message. Returns nullopt if the connection ends within the head, or after the timeout.
+    // Reads a message. Returns nullopt if the connection ends within the head, or after the
+    // timeout.
     std::optional<message> receive(milliseconds timeout, bool isResponse);
     bool isOpen() const { return m_descriptor >= 0; }
     void close();
@@ -113,7 +115,8 @@
 
     void startAll();
     void start(machine &started);
-    // Kills a control instance for good. Its successor starts 1 s later, at another address with an empty disk.
+    // Kills a control instance for good. Its successor starts 1 s later, at another address with an
+    // empty disk.
     void replaceControl(std::size_t index);
     void signal(const machine &to, int number);
     // Waits until the process has ended. Returns whether it did within the time.
@@ -121,8 +124,8 @@
     std::string controlAddress(const machine &of) const;
     std::string entryAddress(const machine &of) const;
     std::string readyAddress(const machine &of) const;
-    // Sends an order as the operator does: tries the control instances in turn, follows redirects twice, until one
-    // gives a clear answer or the time is over. Returns the status, or 0.
+    // Sends an order as the operator does: tries the control instances in turn, follows redirects
+    // twice, until one gives a clear answer or the time is over. Returns the status, or 0.
     int order(const std::string &method, const std::string &path, const std::string &body,
               milliseconds time, std::string *answer = nullptr);
     // Waits until the entry instances are ready and answer a GET of the path with 200.
@@ -164,7 +167,8 @@
 class backend
 {
 public:
-    // `respond` may replace the way in which a checked request is answered. It returns whether the connection is kept.
+    // `respond` may replace the way in which a checked request is answered. It returns whether the
+    // connection is kept.
     using responder = std::function<bool(backend &, connection &, const message &)>;
     backend(deployment &in, record_file &record, std::string id, std::string service,
             std::string zone, responder respond = {});
