--- a/review/stand_in.hpp
+++ b/review/stand_in.hpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
