--- a/review/stand_in.cpp
+++ b/review/stand_in.cpp
@@ -326,6 +326,11 @@
     return of.host + ":" + std::to_string(m_port);
 }
 
+std::string deployment::internalAddress(const machine &of) const
+{
+    return of.host + ":" + std::to_string(m_port + 4);
+}
+
 std::string deployment::entryAddress(const machine &of) const
 {
     return of.host + ":" + std::to_string(m_port + 2);
@@ -357,11 +362,12 @@
          << "\", \"zone\": \"" << of.zone << "\", \"region\": \"" << of.zone.substr(0, 3)
          << "\", \"zones\": {\"akl-a\": \"akl\", \"akl-b\": \"akl\", \"wlg-a\": \"wlg\", "
             "\"wlg-b\": \"wlg\", \"chc-a\": \"chc\", \"chc-b\": \"chc\"}, \"listen\": {"
-         << listen << "}, \"internal_ports\": [" << port(4) << ", " << port(19) << "], \"seeds\": ["
-         << seeds << "], \"bootstrap\": " << (isFirstStart ? "true" : "false")
+         << listen << "}, \"internal_ports\": [" << port(of.internalOffset) << ", " << port(19)
+         << "], \"seeds\": [" << seeds << "], \"bootstrap\": " << (isFirstStart ? "true" : "false")
          << ", \"loss_counts\": " << (isControl ? "true" : "false")
          << ", \"limits\": {\"cpu_share\": 0.2, \"cores\": 1, \"memory_mb\": 260, \"max_fds\": "
-            "4100, \"link_mbps\": 1000.0, \"disk_mb\": 256}, \"data_dir\": "
+            "4100, \"link_mbps\": "
+         << of.linkMbps << ", \"disk_mb\": 256}, \"data_dir\": "
          << (isControl ? "\"" + of.dataFolder + "\"" : "null")
          << ", \"discovery\": \"cloud\", \"entry\": \"directory\", \"heartbeat\": \"1500ms\", "
             "\"contracts\": [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", "
@@ -604,17 +610,66 @@
     }
 }
 
+void slow_link::pass(std::size_t bytes)
+{
+    steady::time_point until;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_free = std::max(m_free, steady::now())
+            + std::chrono::duration_cast<steady::duration>(
+                     std::chrono::duration<double>(static_cast<double>(bytes) / m_bytesPerSecond));
+        until = m_free;
+    }
+    std::this_thread::sleep_until(until);
+}
+
+void forward(connection &client, const std::string &to, slow_link &link)
+{
+    connection server;
+    // A small buffer, as a link with small windows has.
+    if (!server.open(to, milliseconds(1'000), 16 * 1024))
+        return;
+    const int small = 16 * 1024;
+    ::setsockopt(client.descriptor(), SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+    std::thread back([&] {
+        char buffer[1'400];
+        long count = 0;
+        while ((count = server.read(buffer, sizeof buffer, std::chrono::hours(1))) > 0) {
+            link.pass(static_cast<std::size_t>(count));
+            if (!client.send(std::string(buffer, static_cast<std::size_t>(count))))
+                break;
+        }
+        ::shutdown(client.descriptor(), SHUT_RDWR);
+        ::shutdown(server.descriptor(), SHUT_RDWR);
+    });
+    char buffer[65'536];
+    long count = 0;
+    while ((count = client.read(buffer, sizeof buffer, std::chrono::hours(1))) > 0)
+        if (!server.send(std::string(buffer, static_cast<std::size_t>(count))))
+            break;
+    ::shutdown(client.descriptor(), SHUT_RDWR);
+    ::shutdown(server.descriptor(), SHUT_RDWR);
+    back.join();
+}
+
 std::string configuration(std::uint64_t version, const std::string &host, const std::string &prefix,
                           const std::string &kind, const std::string &service,
-                          const std::string &timeout)
-{
+                          const std::string &timeout, int furtherRoutes)
+{
+    std::string further;
+    for (int i = 0; i < furtherRoutes; ++i) {
+        char name[16];
+        std::snprintf(name, sizeof name, "%05d", i);
+        further += std::string(",[\"f-") + name + "\",\"" + host + "\",\"/further" + name
+            + "/\",\"safe\",\"2000ms\",\"500ms\",2,\"" + service + "\",2,false,[],null]";
+    }
     return "{\"version\":" + std::to_string(version)
         + ",\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\",\"timeout\","
           "\"target_latency\",\"priority\",\"service\",\"max_attempts\",\"sticky_sessions\","
           "\"home_regions\",\"traffic_split\"],\"rows\":[[\"r-1\",\""
         + host + "\",\"" + prefix + "\",\"" + kind + "\",\"" + timeout + "\",\"600ms\",1,\""
-        + service
-        + "\",2,false,[],null]]},\"services\":{\"columns\":[\"name\",\"health_path\",\"max_conns\","
+        + service + "\",2,false,[],null]" + further
+        + "]},\"services\":{\"columns\":[\"name\",\"health_path\",\"max_conns\","
           "\"protocol\",\"tls\",\"cold_start\",\"cold_per_s\"],\"rows\":[[\""
         + service
         + "\",\"/health\",390,\"h1\",false,\"3s\",3.7]]},\"limits\":{\"max_header_bytes\":16384,"
--- a/review/stand_in.hpp
+++ b/review/stand_in.hpp
@@ -72,6 +72,7 @@
     // timeout.
     std::optional<message> receive(milliseconds timeout, bool isResponse);
     bool isOpen() const { return m_descriptor >= 0; }
+    int descriptor() const { return m_descriptor; }
     void close();
 
 private:
@@ -112,6 +113,8 @@
         int pid = 0;
         bool isGone = false;
         bool isSuccessor = false; // takes the place of a machine that is gone
+        double linkMbps = 1'000; // as the settings name it
+        int internalOffset = 4; // of the port at which it reaches control instances
     };
 
     void startAll();
@@ -123,6 +126,9 @@
     // Waits until the process has ended. Returns whether it did within the time.
     bool waitForEnd(machine &ended, milliseconds time);
     std::string controlAddress(const machine &of) const;
+    // The address at which control instances serve entry instances and each other.
+    std::string internalAddress(const machine &of) const;
+    std::uint16_t portAt(int offset) const { return static_cast<std::uint16_t>(m_port + offset); }
     std::string entryAddress(const machine &of) const;
     std::string readyAddress(const machine &of) const;
     // Sends an order as the operator does: tries the control instances in turn, follows redirects
@@ -192,8 +198,28 @@
     std::unique_ptr<listener> m_listener;
 };
 
+// A link of limited bandwidth: what comes from the other side passes at `bytesPerSecond`, over all
+// connections together.
+class slow_link
+{
+public:
+    explicit slow_link(double bytesPerSecond)
+        : m_bytesPerSecond(bytesPerSecond)
+    { }
+    // Waits until the bytes have passed.
+    void pass(std::size_t bytes);
+
+private:
+    double m_bytesPerSecond;
+    std::mutex m_mutex;
+    steady::time_point m_free{};
+};
+
+// Forwards a connection to an address; answers pass the link.
+void forward(connection &client, const std::string &to, slow_link &link);
+
 // A configuration with one route to one service.
 std::string configuration(std::uint64_t version, const std::string &host, const std::string &prefix,
                           const std::string &kind, const std::string &service,
-                          const std::string &timeout);
+                          const std::string &timeout, int furtherRoutes = 0);
 std::string newRequestId();
