Replace and remove silent members of the control group

Cause: the leader added each replica that asked to join as a further voter while the group had fewer than nine members, and replaced a silent member only in a full group. A machine that is gone for good so stayed a voter, until the dead voters outnumbered the others. A member that was replaced while it was cut off never asked to join again, because its own log still calls it a voter.

Change: a replica that asks to join takes the place of a member that was silent for 2 s; it waits while a voter does not reply but is not silent for so long. A member that is silent for 5 s is removed unless fewer voters than 2 * fault_tolerance.machines + 1 would remain, which covers planned replacements, where the successor comes first. A voter whose election fails asks all replicas that it knows to join.

Evidence: replacedMembersDoNotStayVoters, pairsOfReplacedMembersDoNotStayVoters, membersThatLeaveAfterTheirSuccessorCameDoNotStayVoters, replacedMemberThatReturnsBecomesVoterAgain and silentMembersAreNotRemovedBelowLimit failed with the old consensus_core.cc and pass now.

--- a/src/agreement/consensus_core.cc
+++ b/src/agreement/consensus_core.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 
 namespace buckthorngrade {
 
@@ -931,7 +932,8 @@
         return;
     }
     const wire::log_member *member = findMember(message.from());
-    if (member != nullptr && member->incarnation() == message.from_incarnation())
+    if (member != nullptr
+        && hasIncarnation(*member, message.from_incarnation(), message.from_founding()))
         return;
     if (m_joinRequests.size() >= maxTrackedJoins && !m_joinRequests.contains(message.from()))
         return;
@@ -989,25 +991,78 @@
         if (replaceMember(id, id) == membership_result::started)
             return;
     }
-    if (m_settings.autoJoinMaxMembers > 0)
-        admitJoiningReplica();
+    if (m_settings.autoJoinMaxMembers > 0 && !admitJoiningReplica())
+        removeSilentMember();
 }
 
-// Adds one replica that requests to join: as an additional member while the group is below its
-// limit, otherwise in place of a member that was not heard from for `silentMemberTicks`. Returns
-// whether a change was started.
-bool consensus_core::admitJoiningReplica()
+// Returns the member that has been silent for the longest time, at least `silentMemberTicks`.
+// Voters come first, because only they count for a majority.
+std::optional<replica_id> consensus_core::findSilentMember() const
 {
-    for (const auto &[id, attempt] : m_joinRequests) {
-        if (findMember(id) != nullptr || !isRecentJoin(attempt))
+    std::optional<replica_id> result;
+    std::pair<bool, unsigned> longest; // is a voter, ticks of silence
+    for (const wire::log_member &member : members().members()) {
+        const auto found = m_progress.find(member.id());
+        if (found == m_progress.end() || member.stays_learner())
+            continue;
+        const std::pair candidate{member.voter(), silenceOf(found->second)};
+        if (candidate.second < m_settings.silentMemberTicks || (result && candidate <= longest))
             continue;
-        if (static_cast<std::size_t>(members().members_size()) < m_settings.autoJoinMaxMembers)
-            return addMember(id, false) == membership_result::started;
-        for (const auto &[oldId, peer] : m_progress)
-            if (m_currentTick - peer.lastHeardTick >= m_settings.silentMemberTicks)
-                return replaceMember(oldId, id) == membership_result::started;
+        result = member.id();
+        longest = candidate;
     }
-    return false;
+    return result;
+}
+
+// Adds one replica that requests to join. It takes the place of a silent member if there is one:
+// a machine that is replaced never comes back, and if it stayed a voter, a few replacements would
+// leave the group without a majority. Returns whether a change was started.
+bool consensus_core::admitJoiningReplica()
+{
+    const auto joining = std::ranges::find_if(m_joinRequests, [this](const auto &request) {
+        return findMember(request.first) == nullptr && isRecentJoin(request.second);
+    });
+    if (joining == m_joinRequests.end())
+        return false;
+    const replica_id id = joining->first;
+    if (const std::optional<replica_id> silent = findSilentMember())
+        return replaceMember(*silent, id) == membership_result::started;
+    // The replica may be the successor of a voter that has just become silent, or that this leader
+    // has not heard from since its election; this is known within `silentMemberTicks`.
+    const bool allVotersReply
+        = std::ranges::all_of(members().members(), [this](const wire::log_member &member) {
+              const auto found = m_progress.find(member.id());
+              return !member.voter() || found == m_progress.end()
+                  || (found->second.hasReplied && isRecent(found->second.lastHeardTick));
+          });
+    if (!allVotersReply
+        || static_cast<std::size_t>(members().members_size()) >= m_settings.autoJoinMaxMembers)
+        return false;
+    return addMember(id, false) == membership_result::started;
+}
+
+// Removes a member whose successor may have been added while it still replied. Returns whether a
+// change was started.
+bool consensus_core::removeSilentMember()
+{
+    const std::optional<replica_id> silent = findSilentMember();
+    if (!silent || silenceOf(m_progress.at(*silent)) < m_settings.removeMemberTicks)
+        return false;
+    const auto voters = std::ranges::count_if(members().members(), &wire::log_member::voter);
+    if (findMember(*silent)->voter() && static_cast<std::size_t>(voters) <= m_settings.minVoters)
+        return false;
+    return removeMember(*silent) == membership_result::started;
+}
+
+// Asks all replicas that this one knows, because those of the settings may have been replaced.
+void consensus_core::requestToJoin()
+{
+    std::set<replica_id> known(m_settings.peers.begin(), m_settings.peers.end());
+    std::ranges::transform(members().members(), std::inserter(known, known.end()),
+                           &wire::log_member::id);
+    known.erase(m_settings.self);
+    for (const replica_id peer : known)
+        addMessage(m_messagesAfterSync, peer, 0, m_hardState.term).mutable_join();
 }
 
 // Time
@@ -1042,6 +1097,10 @@
     if (++m_electionElapsed < m_electionTimeout)
         return;
     if (isVoter()) {
+        // The group may have removed this replica while it was unreachable. Nobody tells it, so a
+        // voter whose election fails also requests to join; a leader that knows it ignores this.
+        if (m_role != core_role::follower)
+            requestToJoin();
         startPreVote();
         return;
     }
@@ -1049,9 +1108,7 @@
     // A replica that is a learner in its own log also requests to join: the leader that added it
     // may have failed before the entry was committed, and the next leader then does not know this
     // replica.
-    for (const replica_id peer : m_settings.peers)
-        if (peer != m_settings.self)
-            addMessage(m_messagesAfterSync, peer, 0, m_hardState.term).mutable_join();
+    requestToJoin();
 }
 
 // Output
--- a/src/agreement/consensus_core.h
+++ b/src/agreement/consensus_core.h
@@ -28,9 +28,13 @@
     // The leader adds replicas that request to join without an operator while the group has fewer
     // members than this. 0: only operators add members.
     std::size_t autoJoinMaxMembers = 0;
-    // With autoJoinMaxMembers, in a full group: the leader replaces a member that it has not heard
-    // from for this long with a replica that requests to join.
-    unsigned silentMemberTicks = 400;
+    // With autoJoinMaxMembers: the leader replaces a member that it has not heard from for
+    // `silentMemberTicks` with a replica that requests to join, and removes one that it has not
+    // heard from for `removeMemberTicks` unless fewer than `minVoters` voters would remain. A
+    // member that comes back afterwards requests to join.
+    unsigned silentMemberTicks = 40;
+    unsigned removeMemberTicks = 100;
+    std::size_t minVoters = 3;
 
     unsigned electionTicks = 20; // the timeout is random in [electionTicks, 2 * electionTicks)
     unsigned heartbeatTicks = 3;
@@ -258,7 +262,14 @@
     void handleChunk(const wire::peer_message &message);
     void handleChunkReply(const wire::peer_message &message);
     void handleJoin(const wire::peer_message &message);
+    void requestToJoin();
     bool admitJoiningReplica();
+    bool removeSilentMember();
+    std::optional<replica_id> findSilentMember() const;
+    unsigned silenceOf(const progress &peer) const
+    {
+        return static_cast<unsigned>(m_currentTick - peer.lastHeardTick);
+    }
     progress *recordReply(const wire::peer_message &message);
     void acceptLeader(const wire::peer_message &message);
 
--- a/src/agreement/replica.cc
+++ b/src/agreement/replica.cc
@@ -76,6 +76,9 @@
     m_coreSettings.founding = identity.founding;
     m_coreSettings.peers = settings.members;
     m_coreSettings.autoJoinMaxMembers = settings.autoJoinMaxMembers;
+    m_coreSettings.silentMemberTicks = ticksIn(settings.replaceSilentAfter, settings.tick);
+    m_coreSettings.removeMemberTicks = ticksIn(settings.removeSilentAfter, settings.tick);
+    m_coreSettings.minVoters = settings.minVoters;
     m_coreSettings.seed = settings.seed == 0 ? randomBits() : settings.seed;
     m_coreSettings.electionTicks = ticksIn(settings.electionTimeout, settings.tick);
     m_coreSettings.heartbeatTicks = ticksIn(settings.heartbeat, settings.tick);
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -41,6 +41,11 @@
     // The leader adds replicas that request to join up to this many members. 0: only operators add
     // members.
     std::size_t autoJoinMaxMembers = 0;
+    // With autoJoinMaxMembers, see core_settings. The first time is longer than an election takes,
+    // the second one longer than a restart.
+    std::chrono::milliseconds replaceSilentAfter{2'000};
+    std::chrono::milliseconds removeSilentAfter{5'000};
+    std::size_t minVoters = 3;
 
     std::chrono::milliseconds tick{50};
     std::chrono::milliseconds heartbeat{150};
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -55,6 +55,8 @@
         && std::ranges::find(result.members, result.self) != result.members.end();
     result.allowInitialized = true;
     result.autoJoinMaxMembers = control_node::maxMembers;
+    // A majority of these voters remains after the loss of so many disks.
+    result.minVoters = 2 * settings.toleratedDiskLosses + 1;
     result.electionTimeout = electionTimeout;
     return result;
 }
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -29,6 +29,8 @@
 // At the first start of the deployment the seeds form the control group. Every other instance asks
 // to join, and the leader adds it while the group has fewer than maxMembers members. An instance
 // that restarts with an empty data folder joins again and has no vote until its log has caught up.
+// One that joins while a member is silent takes that member's place, and a member that stays silent
+// is removed, so machines that were replaced do not count for a majority.
 // The id of a replica is its IPv4 address.
 class control_node
 {
--- a/src/model/node_settings.h
+++ b/src/model/node_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <map>
@@ -29,6 +30,7 @@
     std::vector<std::string> seedHosts; // some control instances, which may be down or replaced
     bool isFirstStart = false; // whole deployment starts for the first time, without stored data
     std::filesystem::path dataFolder;
+    std::size_t toleratedDiskLosses = 1; // machines whose disks may be lost at the same time
 
     double linkBytesPerSecond = 125e6; // capacity of the machine's network link
 
--- a/src/platform/platform_settings.cc
+++ b/src/platform/platform_settings.cc
@@ -21,6 +21,9 @@
 
 constexpr double bytesPerMegabit = 1e6 / 8;
 
+// No control group is large enough to bear the loss of more disks; guards against typing errors.
+constexpr int maxToleratedLosses = 1'000;
+
 json objectField(const json &object, const char *name)
 {
     const auto found = object.find(name);
@@ -75,6 +78,16 @@
     result.maxRegionShift = numberField(bounds, "max_region_shift", result.maxRegionShift);
 }
 
+void readTolerance(const json &all, node_settings &result)
+{
+    const double machines = numberField(objectField(all, "fault_tolerance"), "machines",
+                                        static_cast<double>(result.toleratedDiskLosses));
+    if (!(machines >= 0 && machines <= maxToleratedLosses))
+        throw settings_error(
+            fmt::format("'fault_tolerance.machines' must be from 0 to {}", maxToleratedLosses));
+    result.toleratedDiskLosses = static_cast<std::size_t>(machines);
+}
+
 } // namespace
 
 node_settings parsePlatformSettings(std::string_view text)
@@ -101,6 +114,7 @@
             throw settings_error("'link_mbps' must be above 0");
         result.isFirstStart = booleanField(all, "bootstrap", false);
         result.dataFolder = stringField(all, "data_dir", "");
+        readTolerance(all, result);
         const json list = objectField(all, "cloud");
         result.listAddress = stringField(list, "address", "");
         result.listCallsPerSecond = numberField(list, "rate_per_s", result.listCallsPerSecond);
--- a/tests/agreement/consensus_core_test.cc
+++ b/tests/agreement/consensus_core_test.cc
@@ -6,7 +6,13 @@
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
+#include <map>
+#include <memory>
 #include <mutex>
+#include <optional>
+#include <ranges>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -119,6 +125,121 @@
     consensus_core m_core;
 };
 
+// Cores that exchange all messages within a tick, without loss, except for those that are cut off.
+class core_group
+{
+public:
+    // Starts replicas 1 to `founders` as voters of a group that replicas may join.
+    explicit core_group(replica_id founders)
+    {
+        for (replica_id id = 1; id <= founders; ++id)
+            m_founders.push_back(id);
+        for (replica_id id = 1; id <= founders; ++id)
+            start(id, true);
+    }
+
+    void start(replica_id id, bool isFounding = false)
+    {
+        core_settings settings;
+        settings.self = id;
+        settings.incarnation = incarnationOf(id);
+        settings.founding = isFounding;
+        settings.peers = m_founders;
+        if (!isFounding) {
+            // The settings of a new machine name running ones.
+            settings.peers.clear();
+            std::ranges::copy(m_cores | std::views::keys, std::back_inserter(settings.peers));
+        }
+        settings.seed = id;
+        settings.autoJoinMaxMembers = maxMembers;
+        core_state state;
+        for (const replica_id member : isFounding ? m_founders : std::vector<replica_id>()) {
+            wire::log_member &added = *state.baseMembers.add_members();
+            added.set_id(member);
+            added.set_voter(true);
+        }
+        m_cores[id] = std::make_unique<consensus_core>(settings, state);
+    }
+    // Ends a replica for good.
+    void remove(replica_id id) { m_cores.erase(id); }
+    void setCutOff(replica_id id, bool isCutOff)
+    {
+        if (isCutOff)
+            m_cutOff.insert(id);
+        else
+            m_cutOff.erase(id);
+    }
+    void run(unsigned ticks)
+    {
+        for (unsigned i = 0; i < ticks; ++i) {
+            for (const auto &[id, core] : m_cores)
+                core->tick();
+            for (int round = 0; round < maxRounds && exchange(); ++round) { }
+        }
+    }
+    replica_id leader() const
+    {
+        const auto found = std::ranges::find_if(m_cores, [this](const auto &item) {
+            return item.second->role() == core_role::leader && !m_cutOff.contains(item.first);
+        });
+        return found == m_cores.end() ? 0 : found->first;
+    }
+    std::set<replica_id> voters() const
+    {
+        std::set<replica_id> result;
+        const auto found = m_cores.find(leader());
+        if (found == m_cores.end())
+            return result;
+        for (const wire::log_member &member : found->second->members().members())
+            if (member.voter())
+                result.insert(member.id());
+        return result;
+    }
+    // Returns whether the group commits a command within an election and a round trip.
+    bool commits()
+    {
+        run(electionLimit);
+        const auto found = m_cores.find(leader());
+        if (found == m_cores.end())
+            return false;
+        const std::optional<log_index> index = found->second->propose("command");
+        run(1);
+        return index && found->second->commitIndex() >= *index;
+    }
+
+    static constexpr std::size_t maxMembers = 9;
+    static constexpr unsigned electionLimit = 100; // ticks
+
+private:
+    static constexpr int maxRounds = 50;
+
+    bool exchange()
+    {
+        std::vector<wire::peer_message> messages;
+        for (const auto &[id, core] : m_cores)
+            for (core_output output = core->takeOutput(); !output.isEmpty();
+                 output = core->takeOutput()) {
+                if (output.needsSync())
+                    core->markPersisted();
+                std::ranges::move(output.messagesBeforeSync, std::back_inserter(messages));
+                std::ranges::move(output.messagesAfterSync, std::back_inserter(messages));
+            }
+        for (const wire::peer_message &message : messages) {
+            const auto to = m_cores.find(message.to());
+            if (to != m_cores.end() && !m_cutOff.contains(message.from())
+                && !m_cutOff.contains(message.to()))
+                to->second->receive(message);
+        }
+        return !messages.empty();
+    }
+
+    std::vector<replica_id> m_founders;
+    std::map<replica_id, std::unique_ptr<consensus_core>> m_cores;
+    std::set<replica_id> m_cutOff;
+};
+
+constexpr unsigned secondTicks = 20; // at the default tick of a replica
+
 } // namespace
 
 class consensus_core_test : public CppUnit::TestFixture
@@ -130,6 +251,12 @@
     CPPUNIT_TEST(leaderWithoutQuorumStepsDown);
     CPPUNIT_TEST(limitsInFlightBytes);
     CPPUNIT_TEST(learnerWithoutLeaderAsksToJoinAgain);
+    CPPUNIT_TEST(replacedMembersDoNotStayVoters);
+    CPPUNIT_TEST(pairsOfReplacedMembersDoNotStayVoters);
+    CPPUNIT_TEST(membersThatLeaveAfterTheirSuccessorCameDoNotStayVoters);
+    CPPUNIT_TEST(replacedMemberThatReturnsBecomesVoterAgain);
+    CPPUNIT_TEST(silentMembersAreNotRemovedBelowLimit);
+    CPPUNIT_TEST(shortSilenceChangesNoMembers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +293,7 @@
                 total.emptied += reached.emptied;
                 total.promotions += reached.promotions;
                 total.installs += reached.installs;
+                total.removals += reached.removals;
                 total.recoveries += reached.recoveries;
             }
         };
@@ -178,7 +306,8 @@
                   << total.leaders << " leaders, " << total.commits << " commits, " << total.reads
                   << " reads, " << total.crashes << " crashes, " << total.emptied
                   << " emptied disks, " << total.promotions << " promotions, " << total.installs
-                  << " installed snapshots, " << total.recoveries << " recoveries" << std::endl;
+                  << " installed snapshots, " << total.removals << " removals, " << total.recoveries
+                  << " recoveries" << std::endl;
         std::ranges::sort(failures);
         for (std::size_t i = 0; i < std::min<std::size_t>(failures.size(), 10); ++i)
             std::cerr << failures[i] << "\n  replay: BG_HISTORY_SEED="
@@ -191,6 +320,7 @@
         CPPUNIT_ASSERT(total.reads > simulationCount && total.crashes > simulationCount);
         CPPUNIT_ASSERT(total.promotions > simulationCount / 20
                        && total.installs > simulationCount / 20);
+        CPPUNIT_ASSERT(total.removals > simulationCount / 20);
         CPPUNIT_ASSERT(total.recoveries > simulationCount / 2);
     }
 
@@ -300,6 +430,112 @@
         CPPUNIT_ASSERT(joins >= settings.peers.size());
         CPPUNIT_ASSERT(learner.role() == core_role::follower);
     }
+
+    // Guards against a group that loses its majority for good because each replaced machine stays a
+    // voter (review case 1: four replacements, one at a time).
+    void replacedMembersDoNotStayVoters()
+    {
+        core_group group(5);
+        CPPUNIT_ASSERT(group.commits());
+        for (replica_id lost = 1; lost <= 5; ++lost) {
+            group.remove(lost);
+            group.run(secondTicks);
+            group.start(lost + 5);
+            group.run(5 * secondTicks);
+            CPPUNIT_ASSERT(group.commits());
+            CPPUNIT_ASSERT(!group.voters().contains(lost) && group.voters().contains(lost + 5));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(5), group.voters().size());
+        }
+    }
+
+    // Guards against the same loss if two machines at a time are replaced in a group of six.
+    void pairsOfReplacedMembersDoNotStayVoters()
+    {
+        core_group group(6);
+        CPPUNIT_ASSERT(group.commits());
+        for (const replica_id lost : {1U, 3U, 5U}) {
+            group.remove(lost);
+            group.remove(lost + 1);
+            group.run(secondTicks);
+            group.start(lost + 6);
+            group.start(lost + 7);
+            group.run(6 * secondTicks);
+            CPPUNIT_ASSERT(group.commits());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(6), group.voters().size());
+            CPPUNIT_ASSERT(!group.voters().contains(lost) && !group.voters().contains(lost + 1));
+        }
+    }
+
+    // Guards against the same loss in planned replacements: the successor joins while the member
+    // still replies, so there is no silent member whose place it could take.
+    void membersThatLeaveAfterTheirSuccessorCameDoNotStayVoters()
+    {
+        core_group group(5);
+        CPPUNIT_ASSERT(group.commits());
+        for (replica_id leaving = 1; leaving <= 5; ++leaving) {
+            group.start(leaving + 5);
+            group.run(5 * secondTicks);
+            group.remove(leaving);
+            group.run(10 * secondTicks);
+            CPPUNIT_ASSERT(group.commits());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(5), group.voters().size());
+        }
+    }
+
+    // Guards against a member that was replaced or removed while it was cut off and then stays
+    // outside the group for good: its own log still calls it a voter.
+    void replacedMemberThatReturnsBecomesVoterAgain()
+    {
+        core_group group(5);
+        CPPUNIT_ASSERT(group.commits());
+        const replica_id cutOff = group.leader() % 5 + 1;
+        group.setCutOff(cutOff, true);
+        group.run(3 * secondTicks);
+        group.start(6);
+        group.run(5 * secondTicks);
+        CPPUNIT_ASSERT(!group.voters().contains(cutOff) && group.voters().contains(6));
+        group.setCutOff(cutOff, false);
+        group.run(4 * secondTicks);
+        CPPUNIT_ASSERT(group.commits());
+        CPPUNIT_ASSERT(group.voters().contains(cutOff));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), group.voters().size());
+    }
+
+    // Guards against a group that shrinks until the loss of one more disk loses committed entries.
+    void silentMembersAreNotRemovedBelowLimit()
+    {
+        core_group group(5);
+        CPPUNIT_ASSERT(group.commits());
+        const replica_id leader = group.leader();
+        group.setCutOff(leader % 5 + 1, true);
+        group.setCutOff((leader + 1) % 5 + 1, true);
+        group.run(20 * secondTicks);
+        CPPUNIT_ASSERT_EQUAL(core_settings().minVoters, group.voters().size());
+        group.setCutOff((leader + 2) % 5 + 1, true);
+        group.run(20 * secondTicks);
+        CPPUNIT_ASSERT(group.commits());
+        CPPUNIT_ASSERT_EQUAL(core_settings().minVoters, group.voters().size());
+        for (replica_id id = 1; id <= 5; ++id)
+            group.setCutOff(id, false);
+        group.run(8 * secondTicks);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), group.voters().size());
+    }
+
+    // Guards against membership changes for each pause of a machine.
+    void shortSilenceChangesNoMembers()
+    {
+        core_group group(5);
+        CPPUNIT_ASSERT(group.commits());
+        const std::set<replica_id> before = group.voters();
+        const replica_id paused = group.leader() % 5 + 1;
+        group.setCutOff(paused, true);
+        group.run(4 * secondTicks);
+        CPPUNIT_ASSERT(before == group.voters());
+        group.setCutOff(paused, false);
+        group.run(4 * secondTicks);
+        CPPUNIT_ASSERT(before == group.voters());
+        CPPUNIT_ASSERT(group.commits());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(consensus_core_test);
--- a/tests/agreement/consensus_simulation.cc
+++ b/tests/agreement/consensus_simulation.cc
@@ -74,6 +74,7 @@
         }
     }
     m_stateHashes[0] = 0;
+    m_autoJoins = chance(30);
     for (node &n : m_nodes)
         startNode(n);
 }
@@ -121,6 +122,12 @@
     settings.maxBatchEntries = m_maxBatch;
     settings.chunkBytes = chunkBytes;
     settings.maxChunksInFlight = 2;
+    if (m_autoJoins) {
+        settings.autoJoinMaxMembers = m_founders + 1;
+        settings.silentMemberTicks = 2 * electionTicks;
+        settings.removeMemberTicks = 4 * electionTicks;
+        settings.minVoters = 2;
+    }
     core_state state;
     state.hardState = n.stored.hardState;
     state.baseIndex = n.stored.baseIndex;
@@ -446,6 +453,9 @@
 
 void consensus_simulation::checkMembershipEntry(const node &n, const wire::log_entry &entry)
 {
+    if (m_autoJoins
+        && n.core->membersAt(entry.index() - 1).members_size() > entry.members().members_size())
+        ++m_reached.removals;
     for (const wire::log_member &member : entry.members().members()) {
         const std::uint64_t incarnation = member.incarnation();
         if (incarnation == 0 || !member.voter() || !m_voterIncarnations.insert(incarnation).second)
--- a/tests/agreement/consensus_simulation.h
+++ b/tests/agreement/consensus_simulation.h
@@ -53,6 +53,7 @@
         std::uint64_t emptied = 0;
         std::uint64_t promotions = 0;
         std::uint64_t installs = 0;
+        std::uint64_t removals = 0; // of silent members by a leader
         std::uint64_t recoveries = 0; // runs that had to make progress at the end
     };
     const coverage &reached() const { return m_reached; }
@@ -148,6 +149,7 @@
     unsigned m_failurePercent = 0;
     bool m_wipesDisks = false;
     bool m_changesMembership = false;
+    bool m_autoJoins = false; // the leader replaces and removes silent members by itself
     bool m_faultsStopped = false; // the final phase without failures
 
     using entry_key = std::pair<log_index, std::uint64_t>; // index and term
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(formsOneGroupFromSeeds);
     CPPUNIT_TEST(allOfNineFailureDomainsVote);
     CPPUNIT_TEST(instanceWithEmptyFolderRejoinsWithoutDataLoss);
+    CPPUNIT_TEST(replacedInstancesDoNotStopTheGroup);
     CPPUNIT_TEST(joinsThroughSeedsThatDoNotLead);
     CPPUNIT_TEST(routingChangesReportTheirOutcome);
     CPPUNIT_TEST(allInstancesSendTheSameVersionsOfTheList);
@@ -211,6 +212,29 @@
         }
     }
 
+    // Guards against a group without a majority after most of its machines were replaced, one at a
+    // time, by empty ones at other addresses (review case 1).
+    void replacedInstancesDoNotStopTheGroup()
+    {
+        control_group all({1, 2, 3});
+        for (const int number : {1, 2, 3, 4, 5})
+            all.start(number, true);
+        waitUntil("all have a vote", [&] { return all.areVoters({1, 2, 3, 4, 5}); });
+        all.put("7");
+        std::vector<int> present{1, 2, 3, 4, 5};
+        for (const int lost : {1, 2, 3, 4}) {
+            const int successor = lost + 5;
+            all.stop(lost);
+            std::ranges::replace(present, lost, successor);
+            all.setSeeds({present.begin(), present.begin() + 3});
+            all.start(successor, false);
+            waitUntil("the successor has a vote", [&] { return all.areVoters({successor}); });
+            CPPUNIT_ASSERT_EQUAL(std::string("7"), all.read());
+        }
+        all.put("8");
+        CPPUNIT_ASSERT_EQUAL(std::string("8"), all.read());
+    }
+
     // Guards against an instance that is never added because all its seeds are followers.
     void joinsThroughSeedsThatDoNotLead()
     {
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -199,7 +199,7 @@
             "zone":"a-1","region":"a","zones":{"a-1":"a","b-1":"b"},"unheard":{"x":1},
             "listen":{"front":"10.1.0.12:8144","ready":"10.1.0.12:8140"},
             "internal_ports":[7660,7675],"seeds":["10.1.0.14:8146","10.2.0.24:8146"],
-            "bootstrap":true,"data_dir":null,"bounds":{"grace":"6s","ttl_max":"5s",
+            "bootstrap":true,"data_dir":null,"fault_tolerance":{"machines":2,"zones":1},"bounds":{"grace":"6s","ttl_max":"5s",
             "retry_budget_ratio":0.3,"budget_window":"9s","retry_budget_slack":62,
             "cold_overage":1.5,"cold_slack":5,"max_region_shift":0.1},
             "cloud":{"address":"10.200.0.4:8142","rate_per_s":52.0}})");
@@ -209,9 +209,12 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{7661}, read.metricsPort());
         CPPUNIT_ASSERT(read.retryWindow == 9s && read.retryShare == 0.3);
         CPPUNIT_ASSERT(read.isFirstStart && read.dataFolder.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.toleratedDiskLosses);
         for (const char *text :
              {"", "[]", "{}", R"({"node_name":"n","ip":"1.2.3.4"})",
-              R"({"node_name":7,"ip":"1.2.3.4","internal_ports":[1],"seeds":[]})"})
+              R"({"node_name":7,"ip":"1.2.3.4","internal_ports":[1],"seeds":[]})",
+              R"({"node_name":"n","ip":"1.2.3.4","internal_ports":[1],"seeds":[],
+                  "fault_tolerance":{"machines":-1}})"})
             CPPUNIT_ASSERT_THROW_MESSAGE(text, parsePlatformSettings(text), settings_error);
     }
 };
