Drop old join requests when the table of them is full

The leader tracks at most 64 replicas that ask to join and kept them for the whole term. After 64 of them, for example replaced machines, it ignored every further one. Requests that are no longer recent now make room.

oldJoinRequestsMakeRoomForNewOnes failed with the old consensus_core.cc and passes now.

--- a/src/agreement/consensus_core.cc
+++ b/src/agreement/consensus_core.cc
@@ -935,6 +935,9 @@
     if (member != nullptr
         && hasIncarnation(*member, message.from_incarnation(), message.from_founding()))
         return;
+    if (m_joinRequests.size() >= maxTrackedJoins)
+        std::erase_if(m_joinRequests,
+                      [this](const auto &request) { return !isRecentJoin(request.second); });
     if (m_joinRequests.size() >= maxTrackedJoins && !m_joinRequests.contains(message.from()))
         return;
     m_joinRequests[message.from()] = {message.from_incarnation(), m_currentTick};
--- a/tests/agreement/consensus_core_test.cc
+++ b/tests/agreement/consensus_core_test.cc
@@ -257,6 +257,7 @@
     CPPUNIT_TEST(replacedMemberThatReturnsBecomesVoterAgain);
     CPPUNIT_TEST(silentMembersAreNotRemovedBelowLimit);
     CPPUNIT_TEST(shortSilenceChangesNoMembers);
+    CPPUNIT_TEST(oldJoinRequestsMakeRoomForNewOnes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -536,6 +537,30 @@
         CPPUNIT_ASSERT(before == group.voters());
         CPPUNIT_ASSERT(group.commits());
     }
+
+    // Guards against a leader that ignores every further replica once it has seen as many join
+    // requests as it tracks, though those replicas are long gone.
+    void oldJoinRequestsMakeRoomForNewOnes()
+    {
+        constexpr replica_id manyReplicas = 200;
+        core_harness core;
+        core.becomeLeader();
+        core.acknowledge(2, incarnationOf(2), 1);
+        const auto join = [&core](replica_id id) {
+            wire::peer_message message = core.from(id, incarnationOf(id));
+            message.mutable_join();
+            core.get().receive(message);
+        };
+        for (replica_id id = 10; id < manyReplicas; ++id)
+            join(id);
+        for (unsigned i = 0; i < 6 * core_settings().electionTicks; ++i) {
+            core.get().tick();
+            core.acknowledge(2, incarnationOf(2), 1);
+        }
+        CPPUNIT_ASSERT(core.get().role() == core_role::leader);
+        join(4);
+        CPPUNIT_ASSERT(core.get().addMember(4, false) == membership_result::started);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(consensus_core_test);
