Take a peer for silent only while a message is unanswered

Cause: a stream to another control instance was reopened when nothing had arrived from that instance for 1.2 s and anything had ever been sent on it. Two followers have nothing to say to each other, so when the leader failed, the first vote request went out on a stream that already counted as silent and was cancelled with it. The log shows peer_disconnected CANCELLED for all peers 1 ms after leader_changed leader=0, on each follower; the election took 2.6 s in place of about 1.2 s.

Change: the time runs from the first message that the peer has not answered.

idleStreamStaysOpen fails with the old code and passes now; silentPeerGetsNewConnection guards the other direction.

--- a/src/control/grpc_peer_transport.cc
+++ b/src/control/grpc_peer_transport.cc
@@ -177,11 +177,14 @@
     envelope.set_from(m_settings.self);
     envelope.set_to(to.id);
     std::uint64_t sent = 0;
-    const steady_time opened = std::chrono::steady_clock::now();
+    // Time of the first message since the last one from the peer. Two followers exchange nothing
+    // for minutes; only a message without an answer shows that the connection is dead.
+    std::optional<steady_time> unansweredSince;
     for (bool isOpen = true; isOpen && !m_stopping;) {
-        if (m_settings.silenceTimeout.count() > 0 && sent > 0
-            && std::chrono::steady_clock::now() - std::max(opened, to.lastReceived.load())
-                > m_settings.silenceTimeout) {
+        if (unansweredSince && to.lastReceived.load() >= *unansweredSince)
+            unansweredSince.reset();
+        if (m_settings.silenceTimeout.count() > 0 && unansweredSince
+            && std::chrono::steady_clock::now() - *unansweredSince > m_settings.silenceTimeout) {
             to.isSilent = true;
             break;
         }
@@ -189,6 +192,8 @@
         if (!bytes)
             continue;
         envelope.set_payload(std::move(*bytes));
+        if (!unansweredSince)
+            unansweredSince = std::chrono::steady_clock::now();
         isOpen = writer->Write(envelope);
         sent += isOpen ? 1 : 0;
         if (!isOpen)
--- a/src/control/grpc_peer_transport.h
+++ b/src/control/grpc_peer_transport.h
@@ -31,8 +31,8 @@
         // replicas are dropped.
         std::function<std::string(replica_id)> addressOf;
         std::size_t maxPeers = 64; // with `addressOf`; messages to further replicas are dropped
-        // A stream is reopened on a new connection if messages were sent to the peer and none has
-        // arrived from it, on any connection, for this long. 0 disables this.
+        // A stream is reopened on a new connection if a message was sent to the peer and none has
+        // arrived from it since, on any connection, for this long. 0 disables this.
         std::chrono::milliseconds silenceTimeout{0};
         std::size_t maxQueuedMessages = 4'096; // queued messages of a peer
         std::size_t maxQueuedBytes = 16U << 20; // payload bytes of these messages
--- a/tests/control/grpc_peer_transport_test.cc
+++ b/tests/control/grpc_peer_transport_test.cc
@@ -117,6 +117,8 @@
     CPPUNIT_TEST(deliversAndBoundsMessages);
     CPPUNIT_TEST(connectsBeforeTheFirstMessage);
     CPPUNIT_TEST(reconnectsAfterRestart);
+    CPPUNIT_TEST(idleStreamStaysOpen);
+    CPPUNIT_TEST(silentPeerGetsNewConnection);
     CPPUNIT_TEST(rejectsOtherClusters);
     CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +176,41 @@
         }));
     }
 
+    // Guards against a first vote request after a calm period that is cancelled together with its
+    // stream, because the peer, which had nothing to answer, is taken for silent.
+    void idleStreamStaysOpen()
+    {
+        test_receiver end(2, 0);
+        grpc_peer_transport::settings settings = settingsFor("c", end.port());
+        settings.silenceTimeout = 1s;
+        connection_counter events;
+        grpc_peer_transport link(settings, events, m_metrics);
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "first");
+            return end.has("first");
+        }));
+        link.recordReceived(2);
+        const int before = events.connections;
+        std::this_thread::sleep_for(settings.silenceTimeout * 2);
+        CPPUNIT_ASSERT_EQUAL(before, events.connections.load());
+        link.send(2, "second");
+        CPPUNIT_ASSERT(waitFor([&] { return end.has("second"); }));
+    }
+
+    // Guards against a dead connection that is kept: it neither fails nor delivers anything.
+    void silentPeerGetsNewConnection()
+    {
+        test_receiver end(2, 0);
+        grpc_peer_transport::settings settings = settingsFor("c", end.port());
+        settings.silenceTimeout = 100ms;
+        connection_counter events;
+        grpc_peer_transport link(settings, events, m_metrics);
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "unanswered");
+            return events.connections >= 3;
+        }));
+    }
+
     // Guards against a wrong address that delivers messages to another cluster or replica and mixes
     // their logs.
     void rejectsOtherClusters()
