Take the voters only from control instances that have a leader

Cause: an entry instance took the list of voters from the last view of any control instance. One that was removed from the group while it was cut off still names members that were replaced, so entry instances would drop the connections to their successors and ask machines that are gone.

Change: a view without a leader names voters only as long as none are known.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -117,7 +117,9 @@
 void entry_node::applyView(const std::string &host, const wire::node_view &view)
 {
     m_respondedHosts.insert(host);
-    if (view.voters_size() > 0) {
+    // A control instance without a leader may have been removed from the group, and then names
+    // members that were replaced.
+    if (view.voters_size() > 0 && (view.has_leader() || m_voterHosts.empty())) {
         m_voterHosts.clear();
         std::ranges::transform(view.voters(), std::inserter(m_voterHosts, m_voterHosts.end()),
                                ipv4ToString);
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -15,6 +15,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -44,6 +45,40 @@
     const wire::node_view m_view;
 };
 
+// Answers each report with the view that was set last, and counts the reports.
+class changing_view_service final : public wire::node_link::Service
+{
+public:
+    void setView(const wire::node_view &view)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_view = view;
+    }
+    int reports() const { return m_reports; }
+    grpc::Status Sync(grpc::ServerContext *, const wire::node_report *,
+                      wire::node_view *view) override
+    {
+        const std::lock_guard lock(m_mutex);
+        *view = m_view;
+        ++m_reports;
+        return grpc::Status::OK;
+    }
+
+private:
+    std::mutex m_mutex;
+    wire::node_view m_view;
+    std::atomic<int> m_reports = 0;
+};
+
+std::unique_ptr<grpc::Server> serveViews(wire::node_link::Service &service,
+                                         const std::string &address)
+{
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&service);
+    return builder.BuildAndStart();
+}
+
 class fixed_codec final : public routing_codec
 {
 public:
@@ -64,9 +99,57 @@
 {
     CPPUNIT_TEST_SUITE(entry_node_test);
     CPPUNIT_TEST(stoppingInstanceAnswersEveryRequestThatItReads);
+    CPPUNIT_TEST(votersOfInstanceWithoutLeaderAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against an entry instance that turns back to replaced control machines because a
+    // control instance that was removed from the group still names them.
+    void votersOfInstanceWithoutLeaderAreIgnored()
+    {
+        constexpr std::uint32_t otherLoopback = 0x7f000002; // 127.0.0.2
+        const free_port port;
+        changing_view_service current;
+        changing_view_service replaced;
+        wire::node_view view;
+        view.set_replica(loopback);
+        view.add_voters(loopback);
+        view.set_has_leader(true);
+        current.setView(view);
+        const auto currentServer = serveViews(current, port.address());
+        const auto replacedServer
+            = serveViews(replaced, fmt::format("127.0.0.2:{}", port.number()));
+        const free_port entryPort;
+        const free_port readyPort;
+        node_settings settings = nodeSettings();
+        settings.entryAddress = entryPort.address();
+        settings.readyAddress = readyPort.address();
+        settings.firstInternalPort = port.number();
+        settings.seedHosts = {"127.0.0.1"};
+        const fixed_codec codec;
+        null_event_log events;
+        metric_registry metrics;
+        loop_thread thread;
+        auto node = std::make_unique<entry_node>(thread.loop(), settings, headerNames, codec,
+                                                 events, metrics);
+        thread.start();
+        waitUntil("the voters are known", [&] { return current.reports() > 2; });
+        view.clear_voters();
+        view.add_voters(otherLoopback);
+        view.set_has_leader(false);
+        current.setView(view);
+        const int before = current.reports();
+        waitUntil("further reports", [&] { return current.reports() > before + 4; });
+        CPPUNIT_ASSERT_EQUAL(0, replaced.reports());
+        view.set_has_leader(true);
+        current.setView(view);
+        waitUntil("the new voter gets reports", [&] { return replaced.reports() > 0; });
+        thread.stop();
+        node.reset();
+        currentServer->Shutdown();
+        replacedServer->Shutdown();
+    }
+
     // Guards against a planned stop that takes requests late in its grace period, forwards them,
     // and closes their connections without a response when the period ends.
     void stoppingInstanceAnswersEveryRequestThatItReads()
@@ -92,10 +175,7 @@
         self.set_region("r");
         fixed_view_service control(view);
         const free_port controlPort;
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort(controlPort.address(), grpc::InsecureServerCredentials());
-        builder.RegisterService(&control);
-        const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+        const std::unique_ptr<grpc::Server> server = serveViews(control, controlPort.address());
 
         const free_port entryPort;
         const free_port readyPort;
