Limit the memory of all responses that are being received

Callers could see: an upstream that sends bytes without end to several requests exhausts the memory of the entry instance, and the requests to all other upstreams end with it (report of another operator).

Cause: http_client limited each response to 16 MB on its own; an entry instance has 160 MB.

Change: a response_budget limits the incomplete responses of an entry instance to 32 MB together and gives up the largest one. A declared length above the limit is refused at once, and bodies of skipped responses are not kept.

endlessResponsesDoNotExhaustMemory (12 responses of 6 MB that never end) fails without the common limit and passes now.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -229,7 +229,7 @@
     if (!m_client) {
         try {
             m_client = std::make_unique<http_client>(m_proxy.m_loop, m_upstream->address,
-                                                     maxResponseBytes);
+                                                     maxResponseBytes, m_proxy.m_responseBudget);
         } catch (const net_error &failure) {
             m_proxy.m_events.write(event_id::attempt_failed,
                                    {{"id", m_id}, {"reason", failure.what()}});
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -84,6 +84,7 @@
     , m_events(events)
     , m_log(events)
     , m_metrics(metrics)
+    , m_responseBudget(maxReceivedBytes)
     , m_upstreams(loop, settings.regionOfDomain, events)
     , m_peers(peers)
     , m_sameRegionConnect(connectTimeoutWithin(sameRegionConnectTimeout, settings))
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -9,6 +9,7 @@
 #include "link.pb.h"
 #include "model/node_settings.h"
 #include "net/http_server.h"
+#include "net/response_budget.h"
 #include "steering/cold_start_limiter.h"
 #include "steering/connect_timeout.h"
 #include "steering/peer_view.h"
@@ -61,6 +62,12 @@
     // Rejects all later requests.
     void rejectNewRequests() { m_isStopping = true; }
 
+    // Limit for the incomplete responses of all upstreams together. Entry instances have 160 MB and
+    // more, of which the bodies of requests may take 48 MB (http_server_options::maxBufferedBytes);
+    // a response is copied once when it is complete.
+    static constexpr std::uint64_t maxReceivedBytes = 32U << 20;
+    std::uint64_t receivedBytes() const { return m_responseBudget.heldBytes(); }
+
     const route_table *routes() const { return m_routes.get(); }
     const upstream_table &upstreams() const { return m_upstreams; }
     // Returns this instance's requests that run or wait at upstreams, by service and region, for
@@ -117,6 +124,7 @@
     request_log m_log;
     metric_registry &m_metrics;
     std::shared_ptr<const route_table> m_routes;
+    response_budget m_responseBudget; // must outlive the connections of m_upstreams
     upstream_table m_upstreams;
     peer_view &m_peers;
     service_splitter m_splitter;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -29,9 +29,11 @@
 
 } // namespace
 
-http_client::http_client(event_loop &loop, const socket_address &to, std::uint64_t maxResponseBytes)
+http_client::http_client(event_loop &loop, const socket_address &to, std::uint64_t maxResponseBytes,
+                         response_budget &budget)
     : m_loop(loop)
     , m_maxResponseBytes(maxResponseBytes)
+    , m_budget(budget)
     , m_socket(loop, to)
 {
     stream_socket::handlers handlers;
@@ -45,7 +47,10 @@
     m_socket.setHandlers(std::move(handlers));
 }
 
-http_client::~http_client() = default;
+http_client::~http_client()
+{
+    m_budget.release(*this);
+}
 
 void http_client::start(call next)
 {
@@ -85,6 +90,8 @@
     m_call.reset();
     m_isReusable = false;
     m_socket.close();
+    m_response.reset();
+    m_budget.release(*this);
 }
 
 void http_client::readInput()
@@ -103,13 +110,21 @@
                 return;
             const std::size_t used = m_decoder->decode(m_socket.input(), m_response->body);
             m_socket.input().erase(0, used);
-            if (m_response->body.size() > m_maxResponseBytes) {
+            if (m_isSkipping) {
+                m_skippedBytes += m_response->body.size();
+                m_response->body.clear();
+            }
+            if (m_skippedBytes + m_response->body.size() > m_maxResponseBytes) {
                 fail(call_failure::too_large);
                 return;
             }
-            if (!m_decoder->isComplete())
-                return;
-            finish();
+            if (m_decoder->isComplete()) {
+                finish();
+                continue;
+            }
+            // May reject this response.
+            m_budget.hold(*this, m_response->body.size());
+            return;
         }
     } catch (const http_error &) {
         fail(call_failure::malformed);
@@ -129,6 +144,10 @@
         if (head.status < firstFinalStatus && ++m_interimResponses > maxInterimResponses)
             throw http_error(badGateway, "too many interim responses");
     } while (head.status < firstFinalStatus);
+    if (head.framing == body_framing::length && head.contentLength > m_maxResponseBytes) {
+        fail(call_failure::too_large);
+        return false;
+    }
     m_isSkipping = m_call->matches && !m_call->matches(head);
     if (m_isSkipping && ++m_skippedResponses > maxSkippedResponses)
         throw http_error(badGateway, "too many responses to other requests");
@@ -139,6 +158,7 @@
     if (const auto idle = parseKeepAliveTimeout(head))
         m_serverIdleTimeout = idle;
     m_decoder.emplace(head);
+    m_skippedBytes = 0;
     m_response.emplace(client_response{std::move(head), {}});
     // An empty body is already complete.
     if (m_decoder->isComplete() && m_socket.input().empty())
@@ -150,6 +170,7 @@
 {
     const client_response response = std::move(*m_response);
     m_response.reset();
+    m_budget.release(*this);
     if (m_isSkipping) {
         m_isSkipping = false;
         return;
@@ -167,6 +188,8 @@
 {
     m_isReusable = false;
     m_socket.close();
+    m_response.reset();
+    m_budget.release(*this);
     if (!m_call)
         return;
     const call ended = std::move(*m_call);
@@ -174,6 +197,11 @@
     ended.onFailure(failure);
 }
 
+void http_client::rejectResponse()
+{
+    fail(call_failure::too_large);
+}
+
 void http_client::handleClosed(close_reason reason)
 {
     if (!m_call) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/body_decoder.h"
+#include "net/response_budget.h"
 #include "net/stream_socket.h"
 
 #include <chrono>
@@ -25,14 +26,15 @@
     no_response, // sent at least partly, but no response started; it may have been executed
     malformed, // the received bytes are not a valid response
     truncated, // the response ended early
-    too_large, // the response exceeds the size limit
+    too_large, // the response exceeds a size limit
 };
 
 // One HTTP/1.1 connection to a server, for one call at a time. Responses are buffered completely. A
 // response that doesn't match the current call belongs to an earlier call and is skipped. The sizes
 // of heads and bodies and the numbers of interim and skipped responses are limited, so that a
-// server can't send data without end.
-class http_client
+// server can't send data without end. The bodies of all connections together are limited by a
+// response_budget.
+class http_client final : private response_budget::receiver
 {
 public:
     // Limits for one call. A server that exceeds them is treated as faulty.
@@ -53,9 +55,10 @@
     };
 
     // Starts connecting. Throws net_error if the connection can't be initiated, for example because
-    // no file descriptors are available.
-    http_client(event_loop &loop, const socket_address &to, std::uint64_t maxResponseBytes);
-    ~http_client();
+    // no file descriptors are available. `budget` must outlive this object.
+    http_client(event_loop &loop, const socket_address &to, std::uint64_t maxResponseBytes,
+                response_budget &budget);
+    ~http_client() override;
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
 
@@ -93,14 +96,17 @@
     bool readHead();
     void finish();
     void fail(call_failure failure);
+    void rejectResponse() override;
     void handleClosed(close_reason reason);
 
     event_loop &m_loop;
     std::uint64_t m_maxResponseBytes;
+    response_budget &m_budget;
     stream_socket m_socket;
     std::optional<call> m_call;
     std::optional<client_response> m_response;
     std::optional<body_decoder> m_decoder;
+    std::uint64_t m_skippedBytes = 0; // of the body of a response that is skipped
     bool m_isSkipping = false; // the current response belongs to an earlier call
     std::uint32_t m_interimResponses = 0; // 1xx responses to the current call
     std::uint32_t m_skippedResponses = 0;
--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -81,7 +81,7 @@
     // of the failure, or with an empty string on success. All references must outlive this object.
     page_sequence_reader(event_loop &loop, const socket_address &address, const clock_source &clock,
                          std::string domain, const listing_source::page_handler &onPage,
-                         std::size_t &skippedEntries,
+                         std::size_t &skippedEntries, response_budget &budget,
                          std::function<void(const std::string &)> onFinished)
         : m_loop(loop)
         , m_address(address)
@@ -89,6 +89,7 @@
         , m_domain(std::move(domain))
         , m_onPage(onPage)
         , m_skippedEntries(skippedEntries)
+        , m_budget(budget)
         , m_onFinished(std::move(onFinished))
     {
         requestPage();
@@ -98,7 +99,7 @@
     void requestPage()
     {
         if (!m_client || !m_client->isReusable())
-            m_client = std::make_unique<http_client>(m_loop, m_address, maxPageBytes);
+            m_client = std::make_unique<http_client>(m_loop, m_address, maxPageBytes, m_budget);
         m_requestedAt = m_clock.now();
         m_timer = m_loop.runAfter(callTimeout, [this] { finish("the request timed out"); });
         http_client::call call;
@@ -156,6 +157,7 @@
     const std::string m_domain;
     const listing_source::page_handler &m_onPage;
     std::size_t &m_skippedEntries; // shared by all readers
+    response_budget &m_budget; // shared by all readers
     const std::function<void(const std::string &)> m_onFinished;
     std::unique_ptr<http_client> m_client;
     event_loop::timer_id m_timer = 0;
@@ -213,11 +215,12 @@
         if (--remainingReaders == 0 || !why.empty())
             loop.stop();
     };
+    response_budget budget(maxPageBytes * remainingReaders);
     try {
         std::vector<std::unique_ptr<page_sequence_reader>> readers;
         const auto addReader = [&](const std::string &domain) {
             readers.push_back(std::make_unique<page_sequence_reader>(
-                loop, m_address, m_clock, domain, onPage, skippedEntries, onFinished));
+                loop, m_address, m_clock, domain, onPage, skippedEntries, budget, onFinished));
         };
         if (domains.empty())
             addReader("");
--- a/tests/carrier/proxy_fixture.h
+++ b/tests/carrier/proxy_fixture.h
@@ -102,12 +102,13 @@
     proxy_fixture &operator=(const proxy_fixture &) = delete;
 
     http_response send(const std::string &path, const std::string &id = "id-1",
-                       const std::string &body = {}, const std::string &object = {})
+                       const std::string &body = {}, const std::string &object = {},
+                       const std::string &deadlineMs = "30000")
     {
         http_request request;
         request.method = body.empty() ? "GET" : "POST";
         request.path = path;
-        request.headers = {{headerNames.deadlineMs, "30000"}};
+        request.headers = {{headerNames.deadlineMs, deadlineMs}};
         if (!id.empty())
             request.headers[headerNames.requestId] = id;
         if (!object.empty())
@@ -115,6 +116,13 @@
         request.body = body;
         return exchange(m_server.address().toString(), request);
     }
+    // Bytes of incomplete responses that the proxy keeps.
+    std::uint64_t receivedBytes()
+    {
+        std::uint64_t result = 0;
+        m_thread.call([&] { result = m_proxy.receivedBytes(); });
+        return result;
+    }
     std::string address() const { return m_server.address().toString(); }
     std::size_t arrivals() const
     {
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 using namespace buckthorngrade;
@@ -76,6 +77,7 @@
     CPPUNIT_TEST(responsesToOtherRequestsAreSkipped);
     CPPUNIT_TEST(extraBytesNeverReachAnotherCaller);
     CPPUNIT_TEST(endlessResponseIsAborted);
+    CPPUNIT_TEST(endlessResponsesDoNotExhaustMemory);
     CPPUNIT_TEST(duplicateRefusalIsSkipped);
     CPPUNIT_TEST(refusalWithoutIdOnReusedConnectionGives502);
     CPPUNIT_TEST(requestWithoutIdGetsNewConnection);
@@ -245,6 +247,47 @@
         }
     }
 
+    // Guards against memory that grows with the number of requests that a faulty upstream answers
+    // without end. Each response alone stays below the limit of one response, and the upstream
+    // keeps the connection open until the caller gives up.
+    void endlessResponsesDoNotExhaustMemory()
+    {
+        constexpr std::size_t bodyBytes = 6 << 20;
+        constexpr int requests = 12;
+        const std::string body(bodyBytes, 'x');
+        const std::string framing = "Transfer-Encoding: chunked\r\n\r\n";
+        std::atomic<int> faulty = 0;
+        proxy_fixture system({[&](const std::string &request) {
+            if (scriptedField(request, headerNames.requestId).starts_with("good"))
+                return answerOk(request);
+            ++faulty;
+            return scripted_answer{"HTTP/1.1 200 OK\r\n" + echo(request) + framing
+                                   + fmt::format("{:x}\r\n", bodyBytes) + body};
+        }});
+        std::vector<std::thread> callers;
+        for (int i = 0; i < requests; ++i)
+            callers.emplace_back([&system, i] {
+                system.send("/once/x", fmt::format("bad-{}", i), "claim", {}, "3000");
+            });
+        std::uint64_t most = 0;
+        waitUntil("all faulty responses are under way", [&] {
+            most = std::max(most, system.receivedBytes());
+            return faulty == requests;
+        });
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "good", "claim").status);
+        std::atomic<bool> isOver = false;
+        std::thread watch([&] {
+            while (!isOver)
+                most = std::max(most, system.receivedBytes());
+        });
+        std::ranges::for_each(callers, &std::thread::join);
+        isOver = true;
+        watch.join();
+        CPPUNIT_ASSERT(most > bodyBytes);
+        CPPUNIT_ASSERT(most <= reverse_proxy::maxReceivedBytes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, system.receivedBytes());
+    }
+
     // Guards against taking a duplicate of an earlier refusal on a reused connection for the
     // response to a request that runs.
     void duplicateRefusalIsSkipped()
