Test a group whose disks are full one after the other

Reported by another operator: after the disks of counted machines were full in turn, changes were refused for good.

--- a/tests/agreement/replica_test.cc
+++ b/tests/agreement/replica_test.cc
@@ -118,6 +118,32 @@
         target.process.reset();
         target.disk->restart(memory_file_system::lost::all, 1);
     }
+    // Ends the process of a replica and starts it on the same files, whose disk stays full until
+    // `fullUntil`, as often as it takes for a start to succeed.
+    void restartAfterFailure(replica_id id, std::chrono::steady_clock::time_point fullUntil)
+    {
+        member &target = m_members[id];
+        m_network.detach(id);
+        if (target.process)
+            target.process->stop();
+        target.process.reset();
+        CPPUNIT_ASSERT(waitFor([&] {
+            target.disk->restart(memory_file_system::lost::nothing, 1);
+            if (std::chrono::steady_clock::now() < fullUntil)
+                target.disk->setFault(memory_file_system::fault::disk_full);
+            try {
+                start(id);
+                return true;
+            } catch (const storage_full &) {
+                return false;
+            }
+        }));
+    }
+    bool hasFailed(replica_id id)
+    {
+        const member &target = m_members[id];
+        return !target.process || !target.process->membership().failure.empty();
+    }
     void emptyDisk(replica_id id) { m_members[id].disk = std::make_unique<memory_file_system>(); }
 
     replica &at(replica_id id) { return *m_members[id].process; }
@@ -206,6 +232,7 @@
     CPPUNIT_TEST(secondLossBeforePromotionOnlyStopsTheGroup);
     CPPUNIT_TEST(catchesUpThroughSnapshots);
     CPPUNIT_TEST(stopsOnFullDiskAndFailedSync);
+    CPPUNIT_TEST(disksThatAreFullInTurnDoNotStopTheGroup);
     CPPUNIT_TEST(replacesAndRemovesMembers);
     CPPUNIT_TEST(rejectsForeignFoldersAndSecondInitialization);
     CPPUNIT_TEST_SUITE_END();
@@ -374,6 +401,43 @@
         }
     }
 
+    // Guards against a group that refuses changes, or never answers them, after the disk of each
+    // replica was full for a while, one after the other: a failed write to the log, to a new
+    // segment, to a snapshot or to the vote must leave files that the next process can use.
+    void disksThatAreFullInTurnDoNotStopTheGroup()
+    {
+        const std::vector<replica_id> all{1, 2, 3, 4, 5};
+        constexpr int rounds = 4;
+        constexpr auto fullFor = 400ms;
+        const std::string filler(300, 'f');
+        replica_cluster cluster(all);
+        cluster.write("before");
+        int written = 0;
+        const auto writeSome = [&] {
+            cluster.at(cluster.leader())
+                .submit(numbered("c", ++written) + filler, requestTimeout)
+                .get();
+        };
+        for (int round = 0; round < rounds; ++round)
+            for (const replica_id full : all) {
+                cluster.disk(full).setFault(memory_file_system::fault::disk_full);
+                const auto fullUntil = std::chrono::steady_clock::now() + fullFor;
+                while (std::chrono::steady_clock::now() < fullUntil) {
+                    writeSome();
+                    if (cluster.hasFailed(full))
+                        cluster.restartAfterFailure(full, fullUntil);
+                }
+                cluster.disk(full).setFault(memory_file_system::fault::none);
+                if (cluster.hasFailed(full))
+                    cluster.restartAfterFailure(full, fullUntil);
+                cluster.write(numbered("room again ", round * 10 + static_cast<int>(full)));
+            }
+        cluster.write("after");
+        cluster.waitForEqualState(all);
+        for (const replica_id id : all)
+            CPPUNIT_ASSERT(cluster.machine(id).has("before") && cluster.machine(id).has("after"));
+    }
+
     // Guards against membership changes that leave a replica without the log or the group without a
     // quorum.
     void replacesAndRemovesMembers()
