Obey what upstreams say in their responses: leaving, and quiet periods

Cause: nothing read either field. The rejections counted as failures, and an upstream without recent responses loses every comparison against faster ones.

Change: notices are decoded from the head of a response and kept for one lifetime of the upstream (id and start time). A leaving upstream gets no further request; one with a quiet period gets none until that is over, then one request at a time until it responds. Requests that still wait for a connection are withdrawn. If no upstream of a service takes any, requests are rejected at once with the soonest time in Retry-After.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -1,10 +1,13 @@
 #include "carrier/proxied_request.h"
 
+#include "carrier/notice_fields.h"
+
 #include "steering/upstream_placement.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -31,7 +34,7 @@
 // that.
 constexpr std::chrono::milliseconds maxIdleIdempotent{6'000};
 constexpr std::chrono::milliseconds maxIdleNonIdempotent{2'500};
-constexpr const char *retryAfterSeconds = "0.3";
+constexpr std::chrono::milliseconds minRetryAfter{300};
 
 // Hop-by-hop fields, and fields that the proxy sets itself on each connection.
 constexpr std::array<std::string_view, 10> hopByHopFields = {"Connection",
@@ -250,6 +253,7 @@
 void proxied_request::send()
 {
     m_sentAt = m_proxy.m_loop.now();
+    m_wantsQuiet = false;
     ++m_attempts;
     m_isChunked
         = m_exchange->head.framing == body_framing::chunked && !m_exchange->isBodyComplete();
@@ -265,6 +269,7 @@
             return echoed == nullptr || *echoed == m_id;
         };
     call.onSent = [self = shared_from_this()] { self->handleSent(); };
+    call.onHead = [self = shared_from_this()](const http_head &head) { self->handleHead(head); };
     call.onResponse = [self = shared_from_this()](const client_response &response) {
         self->handleResponse(response);
     };
@@ -325,6 +330,38 @@
         || response.head.find(m_proxy.m_headerNames.notRun) != nullptr;
 }
 
+void proxied_request::handleHead(const http_head &head)
+{
+    const notice_fields notices = parseNoticeFields(head, m_proxy.m_headerNames);
+    if (notices.hasIgnoredValue && m_proxy.m_log.shouldLog(event_id::upstream_notice_ignored))
+        m_proxy.m_log.write(event_id::upstream_notice_ignored,
+                            {{"id", m_id}, {"upstream", m_upstream->listed.id}});
+    // The response of another process says nothing about this upstream.
+    const std::string *sender = head.find(m_proxy.m_headerNames.upstreamId);
+    if (sender != nullptr && *sender != m_upstream->listed.id)
+        return;
+    m_wantsQuiet = notices.quietPeriod.has_value();
+    if (notices.isLeaving)
+        m_proxy.recordLeaving(m_upstream);
+    if (notices.quietPeriod)
+        m_proxy.recordQuiet(m_upstream, *notices.quietPeriod);
+    else
+        m_upstream->notices->recordResponse(m_proxy.m_loop.now());
+}
+
+void proxied_request::withdrawUnsent(const upstream_pointer &upstream)
+{
+    if (m_isFinished || m_upstream != upstream || !m_client || m_client->hasSent())
+        return;
+    m_client->cancel();
+    m_proxy.m_loop.cancel(m_connectTimer);
+    logFailedAttempt("withdrawn");
+    releaseUpstream();
+    --m_attempts;
+    retryOrRespond(m_mayHaveRun ? badGateway : unavailable, "upstream wants no requests",
+                   attempt_reach::nothing);
+}
+
 void proxied_request::handleResponse(const client_response &response)
 {
     m_proxy.m_loop.cancel(m_connectTimer);
@@ -342,7 +379,9 @@
     }
     const bool notRun = isNotRun(response);
     const bool isFailure = notRun || status >= firstServerError;
-    upstream.recordOutcome(isFailure, now);
+    // A rejection that names its end is no sign of a fault.
+    if (!m_wantsQuiet)
+        upstream.recordOutcome(isFailure, now);
     if (!isFailure) {
         m_proxy.recordServiceTime(
             upstream, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sentAt));
@@ -534,13 +573,24 @@
     m_exchange->respond(response.head.status, fields, response.body);
 }
 
+// Returns the soonest time, in seconds, at which an upstream may take the request.
+std::string proxied_request::retryAfter() const
+{
+    const steady_time now = m_proxy.m_loop.now();
+    std::chrono::milliseconds wait = minRetryAfter;
+    if (m_route != nullptr && m_proxy.m_upstreams.usable(m_service, now).empty())
+        if (const auto next = m_proxy.m_upstreams.nextAvailable(m_service, now))
+            wait = std::max(wait, std::chrono::ceil<std::chrono::milliseconds>(*next - now));
+    return fmt::format("{:.1f}", std::ceil(static_cast<double>(wait.count()) / 100) / 10);
+}
+
 void proxied_request::respondLocally(int status, const char *reason)
 {
     http_fields fields;
     if (!m_id.empty())
         fields.emplace_back(m_proxy.m_headerNames.requestId, m_id);
     if (status == unavailable)
-        fields.emplace_back("Retry-After", retryAfterSeconds);
+        fields.emplace_back("Retry-After", retryAfter());
     if (m_proxy.m_log.shouldLog(event_id::request_failed))
         m_proxy.m_log.write(event_id::request_failed,
                             {{"id", m_id},
--- a/src/carrier/proxied_request.h
+++ b/src/carrier/proxied_request.h
@@ -26,10 +26,14 @@
     void start();
     // Drops the request without a response. Used when the process ends.
     void abandon();
+    // Takes the request back from its upstream, which may not get it any more, and tries another
+    // one, unless a part of it was sent already.
+    void withdrawUnsent(const upstream_pointer &upstream);
 
 private:
     void startAttempt();
     void send();
+    void handleHead(const http_head &head);
     void handleResponse(const client_response &response);
     void handleFailure(call_failure failure);
     void handleConnectTimeout();
@@ -50,6 +54,7 @@
     void forwardResponse(const client_response &response);
     // Sends a response of the entry instance itself.
     void respondLocally(int status, const char *reason);
+    std::string retryAfter() const;
     void finish();
     void releaseUpstream();
     std::string encode(std::chrono::milliseconds left) const;
@@ -83,6 +88,7 @@
     std::set<std::string> m_tried;
     std::uint32_t m_attempts = 0; // requests sent to upstreams
     std::uint32_t m_unreachedAttempts = 0; // attempts that reached no upstream of the service
+    bool m_wantsQuiet = false; // the response asks for a quiet period
     bool m_mayHaveRun = false;
     bool m_isFinished = false;
     event_loop::timer_id m_timeoutTimer = 0;
--- a/src/carrier/proxy_header_names.h
+++ b/src/carrier/proxy_header_names.h
@@ -16,6 +16,7 @@
     std::string upstreamId = "Buckthorn-Upstream";
     std::string load = "Buckthorn-Load"; // "RUNNING,WAITING,SLOTS"
     std::string notRun = "Not-Run"; // its presence means that the upstream did not run the request
+    std::string leaving = "Buckthorn-Leaving"; // "1": the upstream wants no further requests
     std::string seal = "Buckthorn-Seal"; // an upstream's signature of its response
 };
 
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -4,6 +4,7 @@
 #include "steering/upstream_placement.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace buckthorngrade {
@@ -150,6 +151,38 @@
         m_regionLoads[{load.service(), load.region()}] = load.requests();
 }
 
+void reverse_proxy::recordLeaving(const upstream_pointer &upstream)
+{
+    if (upstream->notices->isLeaving())
+        return;
+    m_upstreams.recordLeaving(*upstream);
+    m_metrics.counter("buckthorngrade_upstreams_taken_out_total", "cause=\"leaving\"").add();
+    withdrawUnsent(upstream);
+}
+
+void reverse_proxy::recordQuiet(const upstream_pointer &upstream, std::chrono::milliseconds period)
+{
+    if (!upstream->notices->isQuiet(m_loop.now()))
+        m_metrics.counter("buckthorngrade_upstreams_taken_out_total", "cause=\"quiet\"").add();
+    m_upstreams.recordQuiet(*upstream, period);
+    withdrawUnsent(upstream);
+}
+
+void reverse_proxy::withdrawUnsent(const upstream_pointer &upstream)
+{
+    // Deferred, because the upstream's response is being handled.
+    m_loop.post([this, upstream] {
+        std::vector<std::shared_ptr<proxied_request>> requests;
+        requests.reserve(m_activeRequests.size());
+        std::ranges::transform(
+            m_activeRequests, std::back_inserter(requests),
+            [](proxied_request *request) { return request->shared_from_this(); });
+        std::ranges::for_each(requests, [&](const std::shared_ptr<proxied_request> &request) {
+            request->withdrawUnsent(upstream);
+        });
+    });
+}
+
 void reverse_proxy::recordServiceTime(upstream_state &upstream, std::chrono::milliseconds time)
 {
     upstream.recordServiceTime(time, m_loop.now());
@@ -273,7 +306,10 @@
                     == route.homeRegions.end());
     });
     if (usable.empty())
-        return {.upstream = nullptr, .reason = "no usable upstream"};
+        return {.upstream = nullptr,
+                .reason = m_upstreams.nextAvailable(service, now)
+                    ? "upstreams take none for a while"
+                    : "no usable upstream"};
     const bool mayUseShares = m_peers.mayUseShares(boot_clock::now());
     const routed_service *routed = m_routes ? m_routes->findService(service) : nullptr;
     const auto coldPeriod = routed == nullptr ? std::chrono::milliseconds(0) : routed->coldPeriod;
@@ -325,7 +361,16 @@
         candidate.isWarm = affinity && upstream->isWarmFor(*affinity, now);
         candidate.roundTrip = networkLatencyTo(*upstream);
     }
-    const placement placed = placeRequest(candidates, request).value();
+    placement placed = placeRequest(candidates, request).value();
+    // The first request after a quiet period shows whether the upstream is back. Otherwise it would
+    // get none as long as the others are faster.
+    const auto returning = std::ranges::find_if(usable, [now](const upstream_state *upstream) {
+        return upstream->notices->isReturning(now);
+    });
+    if (returning != usable.end()) {
+        placed.index = static_cast<std::size_t>(returning - usable.begin());
+        placed.isFirst = false;
+    }
     upstream_state *chosen = usable[placed.index];
     // If the upstream has no queue, a long expected time is the service time itself, and refusing
     // requests would not shorten it.
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -100,6 +100,11 @@
     choice choose(const route &route, const std::string &service,
                   const std::optional<std::uint64_t> &affinity, std::uint64_t bodyBytes,
                   const std::set<std::string> &excluded);
+    // Record that the upstream wants no further requests, or none for a while, and withdraw those
+    // that were not sent yet.
+    void recordLeaving(const upstream_pointer &upstream);
+    void recordQuiet(const upstream_pointer &upstream, std::chrono::milliseconds period);
+    void withdrawUnsent(const upstream_pointer &upstream);
     // Records a response that took `time`, including the network round trip.
     void recordServiceTime(upstream_state &upstream, std::chrono::milliseconds time);
     service_state &stateOf(const std::string &service);
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -31,6 +31,8 @@
 constexpr std::chrono::seconds warmLifetime{10};
 constexpr std::size_t maxHandledObjects = 1'024; // per upstream
 constexpr std::size_t maxIdleConnections = 16; // per upstream
+// Time for which the notices of a process that is no longer listed are kept.
+constexpr std::chrono::minutes noticeRetention{10};
 
 std::int64_t remainingMs(steady_time until, steady_time now)
 {
@@ -48,6 +50,25 @@
 
 } // namespace
 
+unavailability upstream_state::whyUnavailable(steady_time now, bool isEvacuated) const
+{
+    if (listed.isDraining)
+        return unavailability::draining;
+    if (notices->isLeaving())
+        return unavailability::leaving;
+    if (isReplaced)
+        return unavailability::replaced;
+    if (isEvacuated)
+        return unavailability::evacuated;
+    if (notices->isQuiet(now))
+        return unavailability::quiet;
+    if (notices->isReturning(now) && inFlight > 0)
+        return unavailability::returning;
+    if (now < ejectedUntil)
+        return unavailability::unreachable;
+    return unavailability::none;
+}
+
 double upstream_state::estimatedLoad(steady_time now) const
 {
     const double otherInstancesLoad = std::max(0.0, reportedLoad - inFlightAtReport);
@@ -142,9 +163,11 @@
             if (!gate)
                 gate = std::make_shared<cold_start_limiter>();
             state->coldGate = gate;
+            state->notices = noticesOf(listed);
             const auto region = m_regionOfDomain.find(listed.failureDomain);
             state->region = region == m_regionOfDomain.end() ? "" : region->second;
         }
+        m_notices[{listed.id, listed.startedMs}].listedAt = m_loop.now();
         const bool wasDraining = isSame && state->listed.isDraining;
         state->listed = listed;
         if (listed.coldFor.count() > 0)
@@ -173,6 +196,9 @@
         if (!next.contains(id))
             m_events.write(event_id::upstream_gone, {{"upstream", id}});
     m_upstreams = std::move(next);
+    std::erase_if(m_notices, [this](const auto &item) {
+        return m_loop.now() - item.second.listedAt > noticeRetention;
+    });
     m_byService.clear();
     for (const auto &[id, state] : m_upstreams)
         m_byService[state->listed.service].push_back(state.get());
@@ -183,6 +209,14 @@
                      })}});
 }
 
+std::shared_ptr<upstream_notices> upstream_table::noticesOf(const listed_upstream &listed)
+{
+    std::shared_ptr<upstream_notices> &notices = m_notices[{listed.id, listed.startedMs}].notices;
+    if (!notices)
+        notices = std::make_shared<upstream_notices>();
+    return notices;
+}
+
 void upstream_table::setEvacuated(std::set<std::string> domains, bool mayHaveMissed,
                                   const route_table *routes)
 {
@@ -224,15 +258,30 @@
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return result;
-    const auto isAllowed = [this](const upstream_state *state) {
-        return !state->listed.isDraining && !state->isReplaced && !isEvacuated(*state);
-    };
     std::ranges::copy_if(found->second, std::back_inserter(result), [&](const auto *state) {
-        return isAllowed(state) && now >= state->ejectedUntil;
+        return state->whyUnavailable(now, isEvacuated(*state)) == unavailability::none;
     });
     return result;
 }
 
+std::optional<steady_time> upstream_table::nextAvailable(const std::string &service,
+                                                         steady_time now) const
+{
+    std::optional<steady_time> result;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return result;
+    for (const upstream_state *state : found->second) {
+        const unavailability why = state->whyUnavailable(now, isEvacuated(*state));
+        if (why != unavailability::quiet && why != unavailability::unreachable)
+            continue;
+        const steady_time at
+            = why == unavailability::quiet ? state->notices->quietUntil() : state->ejectedUntil;
+        result = std::min(at, result.value_or(at));
+    }
+    return result;
+}
+
 upstream_pointer upstream_table::find(const std::string &id) const
 {
     const auto found = m_upstreams.find(id);
@@ -293,8 +342,40 @@
                     {"started_ms", upstream.listed.startedMs}});
 }
 
+void upstream_table::recordLeaving(upstream_state &upstream)
+{
+    if (upstream.notices->recordLeaving())
+        m_events.write(event_id::upstream_leaving,
+                       {{"upstream", upstream.listed.id},
+                        {"started_ms", upstream.listed.startedMs},
+                        {"in_flight", upstream.inFlight}});
+}
+
+void upstream_table::recordQuiet(upstream_state &upstream, std::chrono::milliseconds period)
+{
+    const steady_time now = m_loop.now();
+    const bool wasQuiet = upstream.notices->isQuiet(now);
+    upstream.notices->recordQuiet(now, period);
+    m_quiet.insert(upstream.listed.id);
+    if (!wasQuiet)
+        m_events.write(event_id::upstream_quiet,
+                       {{"upstream", upstream.listed.id},
+                        {"started_ms", upstream.listed.startedMs},
+                        {"for_ms", remainingMs(upstream.notices->quietUntil(), now)},
+                        {"in_flight", upstream.inFlight}});
+}
+
 void upstream_table::closeIdle()
 {
+    std::erase_if(m_quiet, [this](const std::string &id) {
+        const upstream_pointer state = find(id);
+        if (state && state->notices->isQuiet(m_loop.now()))
+            return false;
+        if (state)
+            m_events.write(event_id::upstream_returned,
+                           {{"upstream", id}, {"started_ms", state->listed.startedMs}});
+        return true;
+    });
     for (const auto &[id, state] : m_upstreams)
         std::erase_if(state->idle, [this](const upstream_state::idle_connection &connection) {
             return !connection.client->isReusable()
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -6,20 +6,35 @@
 #include "net/http_client.h"
 #include "steering/cold_start_limiter.h"
 #include "steering/restart_detector.h"
+#include "steering/upstream_notices.h"
 
 #include <chrono>
 #include <cstdint>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace buckthorngrade {
 
+// Why an upstream gets no requests.
+enum class unavailability {
+    none,
+    draining, // as the list says
+    leaving, // as its responses say
+    quiet, // it wants none for a while
+    returning, // after that, while it has a request in progress
+    replaced, // another upstream has responded at its address
+    evacuated,
+    unreachable,
+};
+
 // State and idle connections that this entry instance keeps for one process of an upstream. A
 // restarted process gets a new upstream_state.
 struct upstream_state
@@ -32,6 +47,7 @@
     const char *coldReason = ""; // why it is cold, or was cold last
     std::shared_ptr<cold_start_limiter> coldGate;
     restart_detector restarts;
+    std::shared_ptr<upstream_notices> notices; // shared by all entries for the same process
     bool isReplaced = false; // another upstream has responded at its address
     std::uint32_t inFlight = 0; // requests from this instance
 
@@ -57,6 +73,8 @@
     };
     std::list<idle_connection> idle; // most recently used first
 
+    // Returns why it gets no requests, whether or not it is cold.
+    unavailability whyUnavailable(steady_time now, bool isEvacuated) const;
     // `coldPeriod` is that of its service.
     bool isCold(steady_time now, std::chrono::milliseconds coldPeriod) const
     {
@@ -99,6 +117,9 @@
 
     // Returns the upstreams of the service that may get requests, ordered by id.
     std::vector<upstream_state *> usable(const std::string &service, steady_time now) const;
+    // Returns when the first upstream of the service that only has to wait may get a request, or
+    // nullopt if there is none.
+    std::optional<steady_time> nextAvailable(const std::string &service, steady_time now) const;
     upstream_pointer find(const std::string &id) const;
     const std::map<std::string, upstream_pointer> &all() const { return m_upstreams; }
     bool isEvacuated(const upstream_state &upstream) const
@@ -106,7 +127,8 @@
         return m_evacuated.contains(upstream.listed.failureDomain);
     }
     bool isEmpty() const { return m_upstreams.empty(); }
-    // Closes connections that have been idle for too long, and deletes unused cold gates.
+    // Closes connections that have been idle for too long, deletes unused cold gates, and logs the
+    // ends of quiet periods.
     void closeIdle();
 
     // Returns a connection that was idle for at most `maxIdle`, or null.
@@ -116,9 +138,13 @@
     // Records that a connection to the upstream was lost or could not be established. The
     // upstream's process was alive at `aliveAt`.
     void recordConnectionLoss(upstream_state &upstream, steady_time aliveAt);
+    // Record what the upstream said in a response.
+    void recordLeaving(upstream_state &upstream);
+    void recordQuiet(upstream_state &upstream, std::chrono::milliseconds period);
 
 private:
     void extendCold(upstream_state &upstream, steady_time until, const char *reason);
+    std::shared_ptr<upstream_notices> noticesOf(const listed_upstream &listed);
 
     event_loop &m_loop;
     std::map<std::string, std::string> m_regionOfDomain;
@@ -129,6 +155,16 @@
     // By id. Gates outlive the entries of the list, so that recently sent requests still count when
     // an upstream is relisted or restarts.
     std::map<std::string, std::shared_ptr<cold_start_limiter>> m_coldGates;
+
+    // By id and start time. They outlive the entries of the list, because an entry may be missing
+    // or unreadable in one reading and there in the next.
+    struct lifetime_notices
+    {
+        std::shared_ptr<upstream_notices> notices;
+        steady_time listedAt;
+    };
+    std::map<std::pair<std::string, std::int64_t>, lifetime_notices> m_notices;
+    std::set<std::string> m_quiet; // ids of upstreams whose quiet period was not logged as ended
 };
 
 } // namespace buckthorngrade
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -157,6 +157,8 @@
         m_isReusable = false;
     if (const auto idle = parseKeepAliveTimeout(head))
         m_serverIdleTimeout = idle;
+    if (!m_isSkipping && m_call->onHead)
+        m_call->onHead(head);
     m_decoder.emplace(head);
     m_skippedBytes = 0;
     m_response.emplace(client_response{std::move(head), {}});
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -50,6 +50,9 @@
         std::function<bool(const http_head &)> matches;
         // Called when the kernel has accepted the first byte of the request. May be empty.
         std::function<void()> onSent;
+        // Called when the head of the response has arrived, before its body. Must not use the
+        // connection. May be empty.
+        std::function<void(const http_head &)> onHead;
         std::function<void(const client_response &)> onResponse;
         std::function<void(call_failure)> onFailure;
     };
--- a/src/platform/platform_roles.cc
+++ b/src/platform/platform_roles.cc
@@ -32,6 +32,7 @@
     result.upstreamId = "X-Buckthorngrade-Instance-Id";
     result.load = "X-Buckthorngrade-Server-Load";
     result.notRun = "X-Buckthorngrade-Not-Executed";
+    result.leaving = "Server-Leaving";
     result.seal = "X-Buckthorngrade-Server-Seal";
     return result;
 }
--- /dev/null
+++ b/src/steering/upstream_notices.cc
@@ -0,0 +1,27 @@
+#include "steering/upstream_notices.h"
+
+#include <algorithm>
+
+namespace buckthorngrade {
+
+bool upstream_notices::recordLeaving()
+{
+    const bool isNew = !m_isLeaving;
+    m_isLeaving = true;
+    return isNew;
+}
+
+void upstream_notices::recordQuiet(steady_time now, std::chrono::milliseconds period)
+{
+    m_quietUntil = now + std::min<std::chrono::milliseconds>(period, maxQuietPeriod);
+    m_mustProve = true;
+}
+
+void upstream_notices::recordResponse(steady_time now)
+{
+    // Requests that were sent before the quiet period still get responses during it.
+    if (!isQuiet(now))
+        m_mustProve = false;
+}
+
+} // namespace buckthorngrade
--- /dev/null
+++ b/src/steering/upstream_notices.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <chrono>
+
+namespace buckthorngrade {
+
+// What one process of an upstream said in its responses about further requests: that it is leaving,
+// or that it wants none for a while. There is one object for each lifetime of an upstream (its id
+// and start time), so a restarted process starts without notices. It has no clock, and is not
+// thread-safe.
+class upstream_notices
+{
+public:
+    // Longer periods are shortened to this one, so that a wrong number does not take an upstream
+    // out for good.
+    static constexpr std::chrono::seconds maxQuietPeriod{300};
+
+    // Returns whether this is the first notice that it leaves.
+    bool recordLeaving();
+    // The upstream rejected a request and wants none for `period`, which replaces an earlier one.
+    void recordQuiet(steady_time now, std::chrono::milliseconds period);
+    // The upstream responded without asking for a quiet period.
+    void recordResponse(steady_time now);
+
+    bool isLeaving() const { return m_isLeaving; }
+    bool isQuiet(steady_time now) const { return now < m_quietUntil; }
+    steady_time quietUntil() const { return m_quietUntil; }
+    // Returns whether a quiet period has ended and the upstream has not responded since. It should
+    // get single requests only until it does.
+    bool isReturning(steady_time now) const { return m_mustProve && !isQuiet(now); }
+
+private:
+    bool m_isLeaving = false;
+    bool m_mustProve = false; // no response since the last quiet period
+    steady_time m_quietUntil = steady_time::min();
+};
+
+} // namespace buckthorngrade
