--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -265,6 +265,7 @@
                                    + fmt::format("{:x}\r\n", bodyBytes) + body};
         }});
         std::vector<std::thread> callers;
+        callers.reserve(requests);
         for (int i = 0; i < requests; ++i)
             callers.emplace_back([&system, i] {
                 system.send("/once/x", fmt::format("bad-{}", i), "claim", {}, "3000");
--- a/tests/carrier/upstream_notices_test.cc
+++ b/tests/carrier/upstream_notices_test.cc
@@ -240,7 +240,9 @@
             proxy_fixture system({leaves, answerOk});
             std::vector<std::thread> callers;
             std::atomic<int> failed = 0;
-            for (int i = 0; i < 12; ++i)
+            constexpr int callerCount = 12;
+            callers.reserve(callerCount);
+            for (int i = 0; i < callerCount; ++i)
                 callers.emplace_back([&, i] {
                     if (system.send("/once/x", fmt::format("id-{}", i), "claim").status != 200)
                         ++failed;
