Log the request limits that upstreams name, and the requests sent to them

The users' rule LIMIT is broken on every deployment in force: an upstream gets up to twice what it says that it takes from all entry instances together. No log line or metric shows that a limit is known, so the logs can't tell a field that nobody reads from a limit that each instance keeps for itself, or from requests that wait for a connection and are sent after the limit became known.

The field is decoded (decimal numbers, the lowest of several, others ignored with a log line) and kept per process of an upstream. No request is treated differently yet.

Test: decodesRequestLimits. test_carrier and test_cli pass.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -341,6 +341,9 @@
     if (sender != nullptr && *sender != m_upstream->listed.id)
         return;
     m_wantsQuiet = notices.quietPeriod.has_value();
+    // An unreadable limit says neither that there is none nor how high it is.
+    if (notices.requestLimit || !notices.hasRequestLimitField)
+        m_proxy.m_upstreams.recordLimit(*m_upstream, notices.requestLimit);
     if (notices.isLeaving)
         m_proxy.recordLeaving(m_upstream);
     if (notices.quietPeriod)
@@ -627,6 +630,22 @@
         m_proxy.connectTimeoutTo(*m_upstream).record(now - m_sentAt, now);
     if (m_choice.coldPermit.isHeld())
         recordColdRequestSent(now);
+    if (m_upstream->notices->requestLimit())
+        recordLimitedRequestSent(now);
+}
+
+void proxied_request::recordLimitedRequestSent(steady_time now)
+{
+    m_proxy.m_metrics.counter("buckthorngrade_limited_requests_total").add();
+    if (m_proxy.m_log.shouldLog(event_id::limited_request_sent))
+        m_proxy.m_log.write(event_id::limited_request_sent,
+                            {{"id", m_id},
+                             {"upstream", m_upstream->listed.id},
+                             {"per_second", *m_upstream->notices->requestLimit()},
+                             {"limited_ms", elapsedMs(m_upstream->notices->limitedSince(), now)},
+                             {"instances", m_proxy.m_peers.peers().size()},
+                             {"instances_age_ms", m_proxy.m_peers.age(boot_clock::now()).count()},
+                             {"waited_ms", elapsedMs(m_sentAt, now)}});
 }
 
 void proxied_request::recordColdRequestSent(steady_time now)
--- a/src/carrier/proxied_request.h
+++ b/src/carrier/proxied_request.h
@@ -67,6 +67,7 @@
     // Called when the first byte of a request was sent.
     void handleSent();
     void recordColdRequestSent(steady_time now);
+    void recordLimitedRequestSent(steady_time now);
 
     reverse_proxy &m_proxy;
     exchange_pointer m_exchange;
--- a/src/carrier/proxy_header_names.h
+++ b/src/carrier/proxy_header_names.h
@@ -17,6 +17,8 @@
     std::string load = "Buckthorn-Load"; // "RUNNING,WAITING,SLOTS"
     std::string notRun = "Not-Run"; // its presence means that the upstream did not run the request
     std::string leaving = "Buckthorn-Leaving"; // "1": the upstream wants no further requests
+    // The requests per second that the upstream takes from all entry instances together.
+    std::string requestLimit = "Buckthorn-Request-Limit";
     std::string seal = "Buckthorn-Seal"; // an upstream's signature of its response
 };
 
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -365,6 +365,22 @@
                         {"in_flight", upstream.inFlight}});
 }
 
+void upstream_table::recordLimit(upstream_state &upstream, std::optional<double> perSecond)
+{
+    if (!upstream.notices->recordLimit(m_loop.now(), perSecond))
+        return;
+    if (perSecond)
+        m_events.write(event_id::upstream_limited,
+                       {{"upstream", upstream.listed.id},
+                        {"started_ms", upstream.listed.startedMs},
+                        {"per_second", *perSecond},
+                        {"in_flight", upstream.inFlight}});
+    else
+        m_events.write(
+            event_id::upstream_unlimited,
+            {{"upstream", upstream.listed.id}, {"started_ms", upstream.listed.startedMs}});
+}
+
 void upstream_table::closeIdle()
 {
     std::erase_if(m_quiet, [this](const std::string &id) {
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -141,6 +141,7 @@
     // Record what the upstream said in a response.
     void recordLeaving(upstream_state &upstream);
     void recordQuiet(upstream_state &upstream, std::chrono::milliseconds period);
+    void recordLimit(upstream_state &upstream, std::optional<double> perSecond);
 
 private:
     void extendCold(upstream_state &upstream, steady_time until, const char *reason);
--- a/src/platform/platform_roles.cc
+++ b/src/platform/platform_roles.cc
@@ -33,6 +33,7 @@
     result.load = "X-Buckthorngrade-Server-Load";
     result.notRun = "X-Buckthorngrade-Not-Executed";
     result.leaving = "Server-Leaving";
+    result.requestLimit = "Server-Limit";
     result.seal = "X-Buckthorngrade-Server-Seal";
     return result;
 }
--- a/src/steering/upstream_notices.cc
+++ b/src/steering/upstream_notices.cc
@@ -17,6 +17,15 @@
     m_mustProve = true;
 }
 
+bool upstream_notices::recordLimit(steady_time now, std::optional<double> perSecond)
+{
+    if (perSecond && m_limitedSince == steady_time::min())
+        m_limitedSince = now;
+    const bool hasChanged = perSecond != m_requestLimit;
+    m_requestLimit = perSecond;
+    return hasChanged;
+}
+
 void upstream_notices::recordResponse(steady_time now)
 {
     // Requests that were sent before the quiet period still get responses during it.
--- a/src/steering/upstream_notices.h
+++ b/src/steering/upstream_notices.h
@@ -3,19 +3,22 @@
 #include "base/clock.h"
 
 #include <chrono>
+#include <optional>
 
 namespace buckthorngrade {
 
 // What one process of an upstream said in its responses about further requests: that it is leaving,
-// or that it wants none for a while. There is one object for each lifetime of an upstream (its id
-// and start time), so a restarted process starts without notices. It has no clock, and is not
-// thread-safe.
+// that it wants none for a while, or how many it takes per second from all entry instances
+// together. There is one object for each lifetime of an upstream (its id and start time), so a
+// restarted process starts without notices. It has no clock, and is not thread-safe.
 class upstream_notices
 {
 public:
     // Longer periods are shortened to this one, so that a wrong number does not take an upstream
     // out for good.
     static constexpr std::chrono::seconds maxQuietPeriod{300};
+    // Requests per second. Higher limits are lowered to this one, which no upstream reaches.
+    static constexpr double maxRequestLimit = 1e6;
 
     // Returns whether this is the first notice that it leaves.
     bool recordLeaving();
@@ -24,17 +27,27 @@
     // The upstream responded without asking for a quiet period.
     void recordResponse(steady_time now);
 
+    // Records what a response said at `now` about the request limit; nullopt if it named none.
+    // Returns whether the limit changed.
+    bool recordLimit(steady_time now, std::optional<double> perSecond);
+
     bool isLeaving() const { return m_isLeaving; }
     bool isQuiet(steady_time now) const { return now < m_quietUntil; }
     steady_time quietUntil() const { return m_quietUntil; }
     // Returns whether a quiet period has ended and the upstream has not responded since. It should
     // get single requests only until it does.
     bool isReturning(steady_time now) const { return m_mustProve && !isQuiet(now); }
+    // Requests per second from all entry instances together, or nullopt if there is no limit.
+    std::optional<double> requestLimit() const { return m_requestLimit; }
+    // When it named a limit for the first time.
+    steady_time limitedSince() const { return m_limitedSince; }
 
 private:
     bool m_isLeaving = false;
     bool m_mustProve = false; // no response since the last quiet period
     steady_time m_quietUntil = steady_time::min();
+    std::optional<double> m_requestLimit;
+    steady_time m_limitedSince = steady_time::min();
 };
 
 } // namespace buckthorngrade
--- a/tests/carrier/upstream_notices_test.cc
+++ b/tests/carrier/upstream_notices_test.cc
@@ -45,6 +45,7 @@
 {
     CPPUNIT_TEST_SUITE(upstream_notices_test);
     CPPUNIT_TEST(decodesNotices);
+    CPPUNIT_TEST(decodesRequestLimits);
     CPPUNIT_TEST(noticesFollowReference);
     CPPUNIT_TEST(leavingUpstreamGetsNoFurtherRequests);
     CPPUNIT_TEST(leavingCountsFromTheHead);
@@ -97,6 +98,33 @@
         CPPUNIT_ASSERT(!leaving({}).isLeaving && !leaving({}).hasIgnoredValue);
     }
 
+    // Guards against values that stop all requests, overflow, or end a limit that still holds.
+    void decodesRequestLimits()
+    {
+        const auto limit = [](int status, const std::vector<std::string> &values) {
+            http_fields fields;
+            for (const std::string &value : values)
+                fields.emplace_back("buckthorn-request-limit", value);
+            return parseNoticeFields(responseHead(status, fields), headerNames);
+        };
+        for (const int status : {200, 404, 421, 429, 500, 502, 503})
+            CPPUNIT_ASSERT_EQUAL(2.5, limit(status, {"2.5"}).requestLimit.value());
+        CPPUNIT_ASSERT_EQUAL(0.0, limit(200, {"0"}).requestLimit.value());
+        CPPUNIT_ASSERT_EQUAL(0.25, limit(200, {"0.25"}).requestLimit.value());
+        CPPUNIT_ASSERT_EQUAL(3.0, limit(200, {"7", "3", "x", "4.5"}).requestLimit.value());
+        for (const std::string &large :
+             {std::string("1000001"), std::string("99999999999999999999"), std::string(400, '9')})
+            CPPUNIT_ASSERT_EQUAL(upstream_notices::maxRequestLimit,
+                                 limit(200, {large}).requestLimit.value());
+        for (const char *invalid : {"", "-1", "-0", "+1", "1e9", "NaN", "nan", "inf", ".5", "5.",
+                                    "1.2.3", "0x4", "4/s", "4 ", "1,5"}) {
+            const notice_fields fields = limit(200, {invalid});
+            CPPUNIT_ASSERT_MESSAGE(invalid, !fields.requestLimit && fields.hasIgnoredValue);
+            CPPUNIT_ASSERT(fields.hasRequestLimitField);
+        }
+        CPPUNIT_ASSERT(!limit(200, {}).requestLimit && !limit(200, {}).hasRequestLimitField);
+    }
+
     // Guards against notices that are lost or kept too long in any order of responses. The
     // reference keeps every notice and searches them.
     void noticesFollowReference()
