Separate the division of a shared rate from cold starts

cold_start_limiter both divided the rate of a cold upstream and limited an instance to its share. The shares of cold upstreams are the same as before.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -658,7 +658,7 @@
                              {"upstream", m_upstream->listed.id},
                              {"reason", m_upstream->coldReason},
                              {"cold_ms", elapsedMs(now, std::max(now, m_upstream->coldUntil))},
-                             {"share", m_choice.coldPermit.share()},
+                             {"share", m_choice.coldPermit.share().requests},
                              {"instances", m_proxy.m_peers.peers().size()},
                              {"instances_age_ms", m_proxy.m_peers.age(boot_clock::now()).count()},
                              {"waited_ms", elapsedMs(m_sentAt, now)}});
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -313,14 +313,14 @@
     const bool mayUseShares = m_peers.mayUseShares(boot_clock::now());
     const routed_service *routed = m_routes ? m_routes->findService(service) : nullptr;
     const auto coldPeriod = routed == nullptr ? std::chrono::milliseconds(0) : routed->coldPeriod;
-    std::map<const upstream_state *, std::uint32_t> coldShares;
+    std::map<const upstream_state *, rate_share> coldShares;
     std::erase_if(usable, [&](upstream_state *upstream) {
         if (!upstream->isCold(now, coldPeriod))
             return false;
-        const std::uint32_t share = mayUseShares
+        const rate_share share = mayUseShares
             ? coldStartShare(m_peers.peers(), m_settings.name, upstream->listed.id,
                              upstream->region, coldLimit(*upstream))
-            : 0;
+            : rate_share{};
         coldShares[upstream] = share;
         return !upstream->coldGate->hasCapacity(now, share);
     });
@@ -378,10 +378,10 @@
         return {.upstream = nullptr, .reason = "overloaded"};
     if (m_stopTime && now + placed.expected > *m_stopTime)
         return {.upstream = nullptr, .reason = "stopping"};
-    cold_start_permit permit;
+    rate_permit permit;
     if (const auto cold = coldShares.find(chosen);
         cold != coldShares.end() && chosen->coldGate->tryReserve(now, cold->second))
-        permit = cold_start_permit(chosen->coldGate, cold->second);
+        permit = rate_permit(chosen->coldGate, cold->second);
     return {.upstream = m_upstreams.find(chosen->listed.id),
             .isFirst = placed.isFirst,
             .isWarm = candidates[placed.index].isWarm,
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -10,10 +10,10 @@
 #include "model/node_settings.h"
 #include "net/http_server.h"
 #include "net/response_budget.h"
-#include "steering/cold_start_limiter.h"
 #include "steering/connect_timeout.h"
 #include "steering/peer_view.h"
 #include "steering/region_share.h"
+#include "steering/shared_rate_limiter.h"
 #include "steering/shared_retry_budget.h"
 
 #include <cstdint>
@@ -91,7 +91,7 @@
         const char *reason = ""; // why upstream is null
         bool isFirst = false; // it is the first preference of the request's object
         bool isWarm = false; // it has handled the object recently
-        cold_start_permit coldPermit = {}; // held if the upstream is cold
+        rate_permit coldPermit = {}; // held if the upstream is cold
         double load = 0; // estimated number of requests that it runs or queues
         std::chrono::duration<double, std::milli> expected{0}; // time until the response
     };
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -159,9 +159,9 @@
                 continue;
             }
             state->hash = hashOf(listed.id);
-            std::shared_ptr<cold_start_limiter> &gate = m_coldGates[listed.id];
+            std::shared_ptr<shared_rate_limiter> &gate = m_coldGates[listed.id];
             if (!gate)
-                gate = std::make_shared<cold_start_limiter>();
+                gate = std::make_shared<shared_rate_limiter>();
             state->coldGate = gate;
             state->notices = noticesOf(listed);
             const auto region = m_regionOfDomain.find(listed.failureDomain);
@@ -398,7 +398,7 @@
                 || m_loop.now() - connection.since > maxIdleTime;
         });
     std::erase_if(m_coldGates, [this](const auto &item) {
-        return item.second.use_count() == 1 && item.second->isIdle(m_loop.now());
+        return item.second.use_count() == 1 && item.second->isIdle(m_loop.now(), coldStartInterval);
     });
 }
 
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -4,8 +4,8 @@
 #include "carrier/route_table.h"
 #include "model/upstream_listing.h"
 #include "net/http_client.h"
-#include "steering/cold_start_limiter.h"
 #include "steering/restart_detector.h"
+#include "steering/shared_rate_limiter.h"
 #include "steering/upstream_notices.h"
 
 #include <chrono>
@@ -45,7 +45,7 @@
     socket_address address;
     steady_time coldUntil = steady_time::min();
     const char *coldReason = ""; // why it is cold, or was cold last
-    std::shared_ptr<cold_start_limiter> coldGate;
+    std::shared_ptr<shared_rate_limiter> coldGate;
     restart_detector restarts;
     std::shared_ptr<upstream_notices> notices; // shared by all entries for the same process
     bool isReplaced = false; // another upstream has responded at its address
@@ -155,7 +155,7 @@
     std::set<std::string> m_evacuated;
     // By id. Gates outlive the entries of the list, so that recently sent requests still count when
     // an upstream is relisted or restarts.
-    std::map<std::string, std::shared_ptr<cold_start_limiter>> m_coldGates;
+    std::map<std::string, std::shared_ptr<shared_rate_limiter>> m_coldGates;
 
     // By id and start time. They outlive the entries of the list, because an entry may be missing
     // or unreadable in one reading and there in the next.
--- a/tests/control/shared_bounds_history_test.cc
+++ b/tests/control/shared_bounds_history_test.cc
@@ -1,5 +1,5 @@
 #include "control/entry_instance_table.h"
-#include "steering/cold_start_limiter.h"
+#include "steering/shared_rate_limiter.h"
 #include "steering/shared_retry_budget.h"
 #include "testing/sliding_window.h"
 
@@ -68,7 +68,7 @@
 
         std::string name;
         peer_view peers;
-        cold_start_limiter gate;
+        shared_rate_limiter gate;
         shared_retry_budget budget{retryLimits};
         std::uint64_t incarnation = 1;
         steady_time runningFrom = start;
@@ -115,9 +115,9 @@
             if (now >= each.reachableFrom)
                 poll(each, now);
         }
-        const std::uint32_t share = each.peers.mayUseShares(bootTimeOf(now))
+        const rate_share share = each.peers.mayUseShares(bootTimeOf(now))
             ? coldStartShare(each.peers.peers(), each.name, "upstream", "r", m_bound)
-            : 0;
+            : rate_share{};
         if (each.gate.tryReserve(now, share)) {
             each.gate.recordSent(now);
             m_coldSends.push_back(now);
--- a/tests/steering/shared_budgets_test.cc
+++ b/tests/steering/shared_budgets_test.cc
@@ -1,5 +1,5 @@
-#include "steering/cold_start_limiter.h"
 #include "steering/region_share.h"
+#include "steering/shared_rate_limiter.h"
 #include "steering/shared_retry_budget.h"
 #include "testing/sliding_window.h"
 
@@ -54,11 +54,11 @@
             std::mt19937_64 random(seed);
             const auto instances = instancesIn(1 + random() % 80);
             const double bound = 2 + static_cast<double>(random() % 30);
-            std::vector<cold_start_limiter> limiters(instances.size());
+            std::vector<shared_rate_limiter> limiters(instances.size());
             std::vector<steady_time> sent;
             for (auto now = start; now < start + 5s; now += 3ms) {
                 const std::size_t sender = random() % instances.size();
-                const std::uint32_t share
+                const rate_share share
                     = coldStartShare(instances, instances[sender].name, "upstream", "near", bound);
                 if (limiters[sender].tryReserve(now, share)) {
                     limiters[sender].recordSent(now);
@@ -87,7 +87,7 @@
             std::mt19937_64 random(seed);
             const auto instances = instancesIn(1 + random() % 20);
             const double bound = 2 + static_cast<double>(random() % 30);
-            std::vector<cold_start_limiter> limiters(instances.size());
+            std::vector<shared_rate_limiter> limiters(instances.size());
             std::vector<waiting_request> waiting;
             std::vector<steady_time> sent;
             for (auto now = start; now < start + 8s; now += 3ms) {
@@ -103,7 +103,7 @@
                     return true;
                 });
                 const std::size_t sender = random() % instances.size();
-                const std::uint32_t share
+                const rate_share share
                     = coldStartShare(instances, instances[sender].name, "upstream", "near", bound);
                 if (limiters[sender].tryReserve(now, share))
                     waiting.push_back({sender, now + std::chrono::milliseconds(random() % 900),
@@ -119,8 +119,9 @@
 
     void unknownInstancesGetNoShare()
     {
-        CPPUNIT_ASSERT_EQUAL(0U, coldStartShare({}, "entry-0", "upstream", "near", 20));
-        CPPUNIT_ASSERT_EQUAL(0U, coldStartShare(instancesIn(3), "other", "upstream", "near", 20));
+        CPPUNIT_ASSERT_EQUAL(0U, coldStartShare({}, "entry-0", "upstream", "near", 20).requests);
+        CPPUNIT_ASSERT_EQUAL(
+            0U, coldStartShare(instancesIn(3), "other", "upstream", "near", 20).requests);
     }
 
     // Guards against retries that are within the limit on each instance but exceed it together.
