Divide the request limit of an upstream among the entry instances

One instance alone sends less than most limits, so each one keeping the limit for itself would not help.

Each instance computes its share of the whole requests in 4 s from the peers that it knows, in the order that cold starts use, and counts a request from its selection until 4.1 s after its first byte. Requests that wait for a connection when the limit becomes known get a part of the share or are withdrawn. A limit ends with a response that names none. An instance with a share checks a limit that nobody confirmed for 5 s; one without a share does after a time that keeps all such checks below half of the limit. Without contact to the control instances the last known peers stay in use. A region's slots count as far as the limits permit their use.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -155,6 +155,7 @@
     m_client.reset();
     m_upstream.reset();
     m_choice.coldPermit = {};
+    m_choice.limitPermit = {};
 }
 
 std::chrono::milliseconds proxied_request::timeLeft() const
@@ -343,7 +344,7 @@
     m_wantsQuiet = notices.quietPeriod.has_value();
     // An unreadable limit says neither that there is none nor how high it is.
     if (notices.requestLimit || !notices.hasRequestLimitField)
-        m_proxy.m_upstreams.recordLimit(*m_upstream, notices.requestLimit);
+        m_proxy.recordLimit(m_upstream, notices.requestLimit);
     if (notices.isLeaving)
         m_proxy.recordLeaving(m_upstream);
     if (notices.quietPeriod)
@@ -352,9 +353,23 @@
         m_upstream->notices->recordResponse(m_proxy.m_loop.now());
 }
 
+bool proxied_request::isWaitingFor(const upstream_pointer &upstream) const
+{
+    return !m_isFinished && m_upstream == upstream && m_client && !m_client->hasSent();
+}
+
+void proxied_request::applyLimit(const upstream_pointer &upstream)
+{
+    if (!isWaitingFor(upstream) || m_choice.limitPermit.isHeld())
+        return;
+    m_choice.limitPermit = m_proxy.tryReserveLimit(*upstream, m_proxy.m_loop.now());
+    if (!m_choice.limitPermit.isHeld())
+        withdrawUnsent(upstream);
+}
+
 void proxied_request::withdrawUnsent(const upstream_pointer &upstream)
 {
-    if (m_isFinished || m_upstream != upstream || !m_client || m_client->hasSent())
+    if (!isWaitingFor(upstream))
         return;
     m_client->cancel();
     m_proxy.m_loop.cancel(m_connectTimer);
@@ -534,6 +549,7 @@
 void proxied_request::releaseUpstream()
 {
     m_choice.coldPermit = {};
+    m_choice.limitPermit = {};
     if (m_upstream) {
         --m_upstream->inFlight;
         // An upstream that is no longer listed destroys its idle connections when it is released
@@ -632,6 +648,7 @@
         recordColdRequestSent(now);
     if (m_upstream->notices->requestLimit())
         recordLimitedRequestSent(now);
+    m_choice.limitPermit.recordSent(now);
 }
 
 void proxied_request::recordLimitedRequestSent(steady_time now)
@@ -643,6 +660,8 @@
                              {"upstream", m_upstream->listed.id},
                              {"per_second", *m_upstream->notices->requestLimit()},
                              {"limited_ms", elapsedMs(m_upstream->notices->limitedSince(), now)},
+                             {"share", m_choice.limitPermit.share().requests},
+                             {"interval_ms", m_choice.limitPermit.share().interval.count()},
                              {"instances", m_proxy.m_peers.peers().size()},
                              {"instances_age_ms", m_proxy.m_peers.age(boot_clock::now()).count()},
                              {"waited_ms", elapsedMs(m_sentAt, now)}});
--- a/src/carrier/proxied_request.h
+++ b/src/carrier/proxied_request.h
@@ -29,6 +29,9 @@
     // Takes the request back from its upstream, which may not get it any more, and tries another
     // one, unless a part of it was sent already.
     void withdrawUnsent(const upstream_pointer &upstream);
+    // Reserves the request within a limit that its upstream has named since it was chosen, or
+    // withdraws the request, unless a part of it was sent already.
+    void applyLimit(const upstream_pointer &upstream);
 
 private:
     void startAttempt();
@@ -63,6 +66,7 @@
     // Sends the part of the body that was received since the last call.
     void forwardBody();
     std::chrono::milliseconds timeLeft() const;
+    bool isWaitingFor(const upstream_pointer &upstream) const;
     void logFailedAttempt(std::string_view outcome);
     // Called when the first byte of a request was sent.
     void handleSent();
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -170,16 +170,28 @@
 
 void reverse_proxy::withdrawUnsent(const upstream_pointer &upstream)
 {
-    // Deferred, because the upstream's response is being handled.
-    m_loop.post([this, upstream] {
+    forEachActiveRequest(
+        [upstream](proxied_request &request) { request.withdrawUnsent(upstream); });
+}
+
+void reverse_proxy::recordLimit(const upstream_pointer &upstream, std::optional<double> perSecond)
+{
+    if (m_upstreams.recordLimit(*upstream, perSecond))
+        forEachActiveRequest(
+            [upstream](proxied_request &request) { request.applyLimit(upstream); });
+}
+
+void reverse_proxy::forEachActiveRequest(const std::function<void(proxied_request &)> &action)
+{
+    // Deferred, because the response of an upstream is being handled.
+    m_loop.post([this, action] {
         std::vector<std::shared_ptr<proxied_request>> requests;
         requests.reserve(m_activeRequests.size());
         std::ranges::transform(
             m_activeRequests, std::back_inserter(requests),
             [](proxied_request *request) { return request->shared_from_this(); });
-        std::ranges::for_each(requests, [&](const std::shared_ptr<proxied_request> &request) {
-            request->withdrawUnsent(upstream);
-        });
+        std::ranges::for_each(
+            requests, [&](const std::shared_ptr<proxied_request> &request) { action(*request); });
     });
 }
 
@@ -252,7 +264,8 @@
         std::map<std::string, region_state> regions;
         std::map<std::string, double> own;
         for (const upstream_state *upstream : m_upstreams.usable(service.name, m_loop.now())) {
-            regions[upstream->region].slots += upstream->listed.slots;
+            regions[upstream->region].slots += upstream->usableSlots(
+                serviceTimeOf(*upstream, m_loop.now(), defaultLatencyTarget));
             own[upstream->region] += runningRequests(*upstream);
         }
         for (const peer_instance &instance : m_peers.peers())
@@ -292,6 +305,64 @@
     return service->coldRate * m_settings.coldOverage + m_settings.coldAllowance;
 }
 
+reverse_proxy::rate_shares reverse_proxy::sharesOf(upstream_state &upstream, steady_time now,
+                                                   bool mayUseColdShares)
+{
+    const routed_service *service
+        = m_routes ? m_routes->findService(upstream.listed.service) : nullptr;
+    rate_shares result;
+    if (upstream.isCold(now,
+                        service == nullptr ? std::chrono::milliseconds(0) : service->coldPeriod))
+        result.cold = mayUseColdShares
+            ? coldStartShare(m_peers.peers(), m_settings.name, upstream.listed.id, upstream.region,
+                             coldLimit(upstream))
+            : rate_share{};
+    result.limit = limitShare(upstream, now);
+    return result;
+}
+
+std::optional<rate_share> reverse_proxy::limitShare(upstream_state &upstream, steady_time now)
+{
+    const auto limit = upstream.notices->requestLimit();
+    if (!limit)
+        return std::nullopt;
+    // Computing the rank takes time that grows with the number of instances, so it is kept.
+    if (upstream.limitRankRevision != m_peers.revision()) {
+        upstream.limitRankRevision = m_peers.revision();
+        upstream.limitRank
+            = shareRank(m_peers.peers(), m_settings.name, upstream.listed.id, upstream.region);
+    }
+    if (!upstream.limitRank || !m_peers.hasJoined())
+        return rate_share{};
+    const std::size_t instances = m_peers.peers().size();
+    const rate_share share = requestLimitShare(*limit, instances, *upstream.limitRank);
+    if (share.requests > 0)
+        return share;
+    const rate_share probe = limitProbeShare(*limit, instances, *upstream.limitRank);
+    return now - upstream.notices->limitObservedAt() >= probe.interval ? probe : share;
+}
+
+rate_permit reverse_proxy::tryReserveLimit(upstream_state &upstream, steady_time now)
+{
+    const auto share = limitShare(upstream, now);
+    if (!share || !upstream.limitGate->tryReserve(now, *share))
+        return {};
+    return {upstream.limitGate, *share};
+}
+
+std::chrono::duration<double, std::milli>
+reverse_proxy::serviceTimeOf(const upstream_state &upstream, steady_time now,
+                             std::chrono::duration<double, std::milli> latencyTarget)
+{
+    if (upstream.isServiceTimeKnown(now))
+        return std::chrono::duration<double, std::milli>(upstream.serviceMs);
+    // An upstream without a recent response is assumed to be as fast as the service's mean. A lower
+    // estimate would draw requests away from upstreams that have their objects cached.
+    const double mean = stateOf(upstream.listed.service).serviceMs;
+    return mean > 0 ? std::chrono::duration<double, std::milli>(mean)
+                    : latencyTarget * defaultServiceTimeShare;
+}
+
 reverse_proxy::choice reverse_proxy::choose(const route &route, const std::string &service,
                                             const std::optional<std::uint64_t> &affinity,
                                             std::uint64_t bodyBytes,
@@ -310,22 +381,20 @@
                 .reason = m_upstreams.nextAvailable(service, now)
                     ? "upstreams take none for a while"
                     : "no usable upstream"};
-    const bool mayUseShares = m_peers.mayUseShares(boot_clock::now());
-    const routed_service *routed = m_routes ? m_routes->findService(service) : nullptr;
-    const auto coldPeriod = routed == nullptr ? std::chrono::milliseconds(0) : routed->coldPeriod;
-    std::map<const upstream_state *, rate_share> coldShares;
+    const bool mayUseColdShares = m_peers.mayUseShares(boot_clock::now());
+    std::map<const upstream_state *, rate_shares> shares;
+    bool isAnyAtLimit = false;
     std::erase_if(usable, [&](upstream_state *upstream) {
-        if (!upstream->isCold(now, coldPeriod))
-            return false;
-        const rate_share share = mayUseShares
-            ? coldStartShare(m_peers.peers(), m_settings.name, upstream->listed.id,
-                             upstream->region, coldLimit(*upstream))
-            : rate_share{};
-        coldShares[upstream] = share;
-        return !upstream->coldGate->hasCapacity(now, share);
+        const rate_shares &found
+            = shares.emplace(upstream, sharesOf(*upstream, now, mayUseColdShares)).first->second;
+        const bool isAtLimit = found.limit && !upstream->limitGate->hasCapacity(now, *found.limit);
+        isAnyAtLimit = isAnyAtLimit || isAtLimit;
+        return isAtLimit || (found.cold && !upstream->coldGate->hasCapacity(now, *found.cold));
     });
     if (usable.empty())
-        return {.upstream = nullptr, .reason = "only cold upstreams"};
+        return {.upstream = nullptr,
+                .reason
+                = isAnyAtLimit ? "upstreams are at their request limits" : "only cold upstreams"};
 
     const std::uint64_t random = m_random();
     const std::string &region = stateOf(service).share.choose(
@@ -342,33 +411,27 @@
     const placement_request request{affinity, random,
                                     route.latencyTarget.count() > 0 ? route.latencyTarget
                                                                     : defaultLatencyTarget};
-    // An upstream without a recent response is assumed to be as fast as the service's mean. A lower
-    // estimate would draw requests away from upstreams that have their objects cached.
-    const double mean = stateOf(service).serviceMs;
-    const auto defaultServiceTime = mean > 0 ? std::chrono::duration<double, std::milli>(mean)
-                                             : request.latencyTarget * defaultServiceTimeShare;
     std::vector<placement_candidate> candidates;
     candidates.reserve(usable.size());
     for (const upstream_state *upstream : usable) {
         placement_candidate &candidate = candidates.emplace_back();
         candidate.hash = upstream->hash;
-        candidate.slots = std::max(1U, upstream->listed.slots);
+        candidate.serviceTime = serviceTimeOf(*upstream, now, request.latencyTarget);
+        candidate.slots = upstream->usableSlots(candidate.serviceTime);
         candidate.load = upstream->estimatedLoad(now);
-        candidate.serviceTime = upstream->isServiceTimeKnown(now)
-            ? std::chrono::duration<double, std::milli>(upstream->serviceMs)
-            : defaultServiceTime;
         candidate.failureShare = upstream->estimatedFailureShare(now);
         candidate.isWarm = affinity && upstream->isWarmFor(*affinity, now);
         candidate.roundTrip = networkLatencyTo(*upstream);
     }
     placement placed = placeRequest(candidates, request).value();
-    // The first request after a quiet period shows whether the upstream is back. Otherwise it would
-    // get none as long as the others are faster.
-    const auto returning = std::ranges::find_if(usable, [now](const upstream_state *upstream) {
-        return upstream->notices->isReturning(now);
+    // The first request after a quiet period shows whether the upstream is back, and one to a
+    // limited upstream whether its limit still holds. Otherwise it would get none as long as the
+    // others are faster.
+    const auto checked = std::ranges::find_if(usable, [now](const upstream_state *upstream) {
+        return upstream->notices->isReturning(now) || upstream->notices->needsLimitCheck(now);
     });
-    if (returning != usable.end()) {
-        placed.index = static_cast<std::size_t>(returning - usable.begin());
+    if (checked != usable.end()) {
+        placed.index = static_cast<std::size_t>(checked - usable.begin());
         placed.isFirst = false;
     }
     upstream_state *chosen = usable[placed.index];
@@ -378,14 +441,15 @@
         return {.upstream = nullptr, .reason = "overloaded"};
     if (m_stopTime && now + placed.expected > *m_stopTime)
         return {.upstream = nullptr, .reason = "stopping"};
-    rate_permit permit;
-    if (const auto cold = coldShares.find(chosen);
-        cold != coldShares.end() && chosen->coldGate->tryReserve(now, cold->second))
-        permit = rate_permit(chosen->coldGate, cold->second);
+    const rate_shares &chosenShares = shares[chosen];
+    rate_permit coldPermit;
+    if (chosenShares.cold && chosen->coldGate->tryReserve(now, *chosenShares.cold))
+        coldPermit = rate_permit(chosen->coldGate, *chosenShares.cold);
     return {.upstream = m_upstreams.find(chosen->listed.id),
             .isFirst = placed.isFirst,
             .isWarm = candidates[placed.index].isWarm,
-            .coldPermit = std::move(permit),
+            .coldPermit = std::move(coldPermit),
+            .limitPermit = tryReserveLimit(*chosen, now),
             .load = candidates[placed.index].load,
             .expected = placed.expected};
 }
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -17,6 +17,7 @@
 #include "steering/shared_retry_budget.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -92,6 +93,7 @@
         bool isFirst = false; // it is the first preference of the request's object
         bool isWarm = false; // it has handled the object recently
         rate_permit coldPermit = {}; // held if the upstream is cold
+        rate_permit limitPermit = {}; // held if the upstream names a request limit
         double load = 0; // estimated number of requests that it runs or queues
         std::chrono::duration<double, std::milli> expected{0}; // time until the response
     };
@@ -104,7 +106,11 @@
     // that were not sent yet.
     void recordLeaving(const upstream_pointer &upstream);
     void recordQuiet(const upstream_pointer &upstream, std::chrono::milliseconds period);
+    // Records what a response of the upstream said about its request limit. Requests that exceed a
+    // new limit and were not sent yet are withdrawn.
+    void recordLimit(const upstream_pointer &upstream, std::optional<double> perSecond);
     void withdrawUnsent(const upstream_pointer &upstream);
+    void forEachActiveRequest(const std::function<void(proxied_request &)> &action);
     // Records a response that took `time`, including the network round trip.
     void recordServiceTime(upstream_state &upstream, std::chrono::milliseconds time);
     service_state &stateOf(const std::string &service);
@@ -118,6 +124,22 @@
     // Requests per second that all entry instances together may send to the upstream while it is
     // cold.
     double coldLimit(const upstream_state &upstream) const;
+    // This instance's shares of the rates that hold for the upstream; nullopt if it has no such
+    // rate.
+    struct rate_shares
+    {
+        std::optional<rate_share> cold;
+        std::optional<rate_share> limit;
+    };
+    rate_shares sharesOf(upstream_state &upstream, steady_time now, bool mayUseColdShares);
+    std::optional<rate_share> limitShare(upstream_state &upstream, steady_time now);
+    // Reserves a request within the upstream's limit. The result is not held if there is no limit
+    // or the share is used up.
+    rate_permit tryReserveLimit(upstream_state &upstream, steady_time now);
+    // Service time of a request to the upstream, or an estimate of it.
+    std::chrono::duration<double, std::milli>
+    serviceTimeOf(const upstream_state &upstream, steady_time now,
+                  std::chrono::duration<double, std::milli> latencyTarget);
     // Number of entry instances that share the retry allowance; 0 while this instance may not use
     // its share.
     std::size_t retryAllowanceSharers() const;
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds coldMargin{500};
 // An upstream may have evicted an object that was not requested for this time.
 constexpr std::chrono::seconds warmLifetime{10};
+// Lower bound of usableSlots(), so that utilization and weights stay finite for a limit of 0.
+constexpr double minUsableSlots = 0.05;
 constexpr std::size_t maxHandledObjects = 1'024; // per upstream
 constexpr std::size_t maxIdleConnections = 16; // per upstream
 // Time for which the notices of a process that is no longer listed are kept.
@@ -81,6 +83,14 @@
     return failureShare * decayFactor(failureShareAt, now, failureShareDecayTime);
 }
 
+double upstream_state::usableSlots(std::chrono::duration<double, std::milli> serviceTime) const
+{
+    const double slots = std::max(1U, listed.slots);
+    const auto limit = notices->requestLimit();
+    return limit ? std::clamp(*limit * real_seconds(serviceTime).count(), minUsableSlots, slots)
+                 : slots;
+}
+
 bool upstream_state::isServiceTimeKnown(steady_time now) const
 {
     return serviceMs > 0 && now - serviceMsAt < serviceTimeValidity;
@@ -163,7 +173,9 @@
             if (!gate)
                 gate = std::make_shared<shared_rate_limiter>();
             state->coldGate = gate;
-            state->notices = noticesOf(listed);
+            const lifetime_notices &lifetime = m_notices[{listed.id, listed.startedMs}];
+            state->notices = lifetime.notices;
+            state->limitGate = lifetime.limitGate;
             const auto region = m_regionOfDomain.find(listed.failureDomain);
             state->region = region == m_regionOfDomain.end() ? "" : region->second;
         }
@@ -209,14 +221,6 @@
                      })}});
 }
 
-std::shared_ptr<upstream_notices> upstream_table::noticesOf(const listed_upstream &listed)
-{
-    std::shared_ptr<upstream_notices> &notices = m_notices[{listed.id, listed.startedMs}].notices;
-    if (!notices)
-        notices = std::make_shared<upstream_notices>();
-    return notices;
-}
-
 void upstream_table::setEvacuated(std::set<std::string> domains, bool mayHaveMissed,
                                   const route_table *routes)
 {
@@ -365,10 +369,11 @@
                         {"in_flight", upstream.inFlight}});
 }
 
-void upstream_table::recordLimit(upstream_state &upstream, std::optional<double> perSecond)
+bool upstream_table::recordLimit(upstream_state &upstream, std::optional<double> perSecond)
 {
-    if (!upstream.notices->recordLimit(m_loop.now(), perSecond))
-        return;
+    const std::optional<double> before = upstream.notices->requestLimit();
+    if (!upstream.notices->recordLimit({perSecond, m_loop.now()}))
+        return false;
     if (perSecond)
         m_events.write(event_id::upstream_limited,
                        {{"upstream", upstream.listed.id},
@@ -379,6 +384,7 @@
         m_events.write(
             event_id::upstream_unlimited,
             {{"upstream", upstream.listed.id}, {"started_ms", upstream.listed.startedMs}});
+    return perSecond && (!before || *perSecond < *before);
 }
 
 void upstream_table::closeIdle()
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -47,7 +47,12 @@
     const char *coldReason = ""; // why it is cold, or was cold last
     std::shared_ptr<shared_rate_limiter> coldGate;
     restart_detector restarts;
-    std::shared_ptr<upstream_notices> notices; // shared by all entries for the same process
+    // Shared by all entries for the same process.
+    std::shared_ptr<upstream_notices> notices;
+    std::shared_ptr<shared_rate_limiter> limitGate;
+    // Its position in shareRank(), computed for a revision of the peers.
+    std::optional<std::size_t> limitRank;
+    std::optional<std::uint64_t> limitRankRevision;
     bool isReplaced = false; // another upstream has responded at its address
     std::uint32_t inFlight = 0; // requests from this instance
 
@@ -84,6 +89,9 @@
     // requests of this instance.
     double estimatedLoad(steady_time now) const;
     double estimatedFailureShare(steady_time now) const;
+    // Returns the number of requests that it should run at a time. With a request limit, this is
+    // what the limit amounts to at `serviceTime` for a request, and may be less than 1.
+    double usableSlots(std::chrono::duration<double, std::milli> serviceTime) const;
     // Returns whether there is a recent estimate of the service time. The estimate expires, so that
     // an upstream that gets few requests because it was slow is tried again.
     bool isServiceTimeKnown(steady_time now) const;
@@ -141,11 +149,11 @@
     // Record what the upstream said in a response.
     void recordLeaving(upstream_state &upstream);
     void recordQuiet(upstream_state &upstream, std::chrono::milliseconds period);
-    void recordLimit(upstream_state &upstream, std::optional<double> perSecond);
+    // Returns whether the upstream now takes fewer requests than before.
+    bool recordLimit(upstream_state &upstream, std::optional<double> perSecond);
 
 private:
     void extendCold(upstream_state &upstream, steady_time until, const char *reason);
-    std::shared_ptr<upstream_notices> noticesOf(const listed_upstream &listed);
 
     event_loop &m_loop;
     std::map<std::string, std::string> m_regionOfDomain;
@@ -161,7 +169,8 @@
     // or unreadable in one reading and there in the next.
     struct lifetime_notices
     {
-        std::shared_ptr<upstream_notices> notices;
+        std::shared_ptr<upstream_notices> notices = std::make_shared<upstream_notices>();
+        std::shared_ptr<shared_rate_limiter> limitGate = std::make_shared<shared_rate_limiter>();
         steady_time listedAt;
     };
     std::map<std::pair<std::string, std::int64_t>, lifetime_notices> m_notices;
--- a/src/steering/peer_view.cc
+++ b/src/steering/peer_view.cc
@@ -28,6 +28,7 @@
     const bool hasChanged
         = !std::ranges::equal(peers, m_peers, {}, &peer_instance::name, &peer_instance::name);
     m_peers = std::move(peers);
+    m_revision += hasChanged ? 1 : 0;
     return hasChanged;
 }
 
--- a/src/steering/peer_view.h
+++ b/src/steering/peer_view.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -53,6 +54,12 @@
     {
         return isListedFor(now, std::max(window, joinDelay));
     }
+    // Returns whether this instance had been listed for `joinDelay` when it was listed last. Stays
+    // true while no answers arrive, for limits that the others may exceed by this instance's share
+    // after they have removed it.
+    bool hasJoined() const { return m_wasListed && m_lastListedAt - m_listedSince >= joinDelay; }
+    // Changes whenever the set of peers does.
+    std::uint64_t revision() const { return m_revision; }
     // Time since the last answer that listed this instance.
     std::chrono::milliseconds age(boot_time now) const;
 
@@ -69,6 +76,7 @@
     std::string m_self;
     std::map<std::string, record> m_records;
     std::vector<peer_instance> m_peers;
+    std::uint64_t m_revision = 0;
     bool m_wasListed = false; // This instance was listed at least once.
     boot_time m_lastListedAt; // Last time this instance was listed.
     boot_time m_listedSince; // Start of the period in which it has been listed without a gap.
--- a/src/steering/shared_rate.cc
+++ b/src/steering/shared_rate.cc
@@ -10,9 +10,16 @@
 
 namespace {
 
+using real_seconds = std::chrono::duration<double>;
+
 // Fraction of a cold upstream's rate that is assigned to instances. The rest covers the requests of
 // instances whose view of the peers differs.
 constexpr double usedColdFraction = 0.9;
+// Two requests that an instance sends this much more than an interval apart do not arrive within
+// the interval when the first one is delayed in transit.
+constexpr std::chrono::milliseconds transitMargin{100};
+// Twice the time after which an instance with a share confirms the limit again.
+constexpr std::chrono::milliseconds minProbeDelay{10'000};
 
 } // namespace
 
@@ -46,4 +53,24 @@
             coldStartInterval};
 }
 
+rate_share requestLimitShare(double perSecond, std::size_t instanceCount, std::size_t rank)
+{
+    const double rate = std::max(perSecond, minRequestLimit);
+    const auto interval = std::max(
+        requestLimitInterval, std::chrono::ceil<std::chrono::milliseconds>(real_seconds(1 / rate)));
+    const auto wholeRequests
+        = std::max(std::size_t{1}, static_cast<std::size_t>(rate * real_seconds(interval).count()));
+    const std::size_t instances = std::max(std::size_t{1}, instanceCount);
+    const std::size_t remainder = rank < wholeRequests % instances ? 1 : 0;
+    return {static_cast<std::uint32_t>(wholeRequests / instances + remainder),
+            interval + transitMargin};
+}
+
+rate_share limitProbeShare(double perSecond, std::size_t instanceCount, std::size_t rank)
+{
+    const double rate = std::max(perSecond, minRequestLimit);
+    const real_seconds spread(2 * static_cast<double>(instanceCount + rank) / rate);
+    return {1, minProbeDelay + std::chrono::ceil<std::chrono::milliseconds>(spread)};
+}
+
 } // namespace buckthorngrade
--- a/src/steering/shared_rate.h
+++ b/src/steering/shared_rate.h
@@ -42,4 +42,22 @@
                           std::string_view upstream, std::string_view upstreamRegion,
                           double perSecond);
 
+// The limit that an upstream names is divided over this time, or over the time between two requests
+// if that is longer.
+constexpr std::chrono::milliseconds requestLimitInterval{4'000};
+// A lower limit is raised to this one, in requests per second. Without any request, an upstream
+// could not say that its limit is over.
+constexpr double minRequestLimit = 0.1;
+
+// Returns the share of the instance with the position `rank` of `instanceCount` in the requests
+// that an upstream takes. The shares of all instances sum up to `perSecond`, rounded down to whole
+// requests.
+rate_share requestLimitShare(double perSecond, std::size_t instanceCount, std::size_t rank);
+
+// Returns the share of an instance without one in requestLimitShare(). It may be used once the
+// upstream's limit was not confirmed by any instance for the share's interval, so that an instance
+// without contact to the others notices the end of a limit. These requests of all instances
+// together are at most half of `perSecond`, spread evenly.
+rate_share limitProbeShare(double perSecond, std::size_t instanceCount, std::size_t rank);
+
 } // namespace buckthorngrade
--- a/src/steering/upstream_notices.cc
+++ b/src/steering/upstream_notices.cc
@@ -17,12 +17,15 @@
     m_mustProve = true;
 }
 
-bool upstream_notices::recordLimit(steady_time now, std::optional<double> perSecond)
+bool upstream_notices::recordLimit(const limit_observation &observation)
 {
-    if (perSecond && m_limitedSince == steady_time::min())
-        m_limitedSince = now;
-    const bool hasChanged = perSecond != m_requestLimit;
-    m_requestLimit = perSecond;
+    if (observation.at < m_limitObservedAt)
+        return false;
+    m_limitObservedAt = observation.at;
+    if (observation.perSecond && m_limitedSince == steady_time::min())
+        m_limitedSince = observation.at;
+    const bool hasChanged = observation.perSecond != m_requestLimit;
+    m_requestLimit = observation.perSecond;
     return hasChanged;
 }
 
--- a/src/steering/upstream_notices.h
+++ b/src/steering/upstream_notices.h
@@ -7,6 +7,13 @@
 
 namespace buckthorngrade {
 
+// What an upstream said about its request limit in one response.
+struct limit_observation
+{
+    std::optional<double> perSecond; // nullopt: it named no limit
+    steady_time at;
+};
+
 // What one process of an upstream said in its responses about further requests: that it is leaving,
 // that it wants none for a while, or how many it takes per second from all entry instances
 // together. There is one object for each lifetime of an upstream (its id and start time), so a
@@ -19,6 +26,7 @@
     static constexpr std::chrono::seconds maxQuietPeriod{300};
     // Requests per second. Higher limits are lowered to this one, which no upstream reaches.
     static constexpr double maxRequestLimit = 1e6;
+    static constexpr std::chrono::seconds limitCheckDelay{5};
 
     // Returns whether this is the first notice that it leaves.
     bool recordLeaving();
@@ -27,9 +35,8 @@
     // The upstream responded without asking for a quiet period.
     void recordResponse(steady_time now);
 
-    // Records what a response said at `now` about the request limit; nullopt if it named none.
-    // Returns whether the limit changed.
-    bool recordLimit(steady_time now, std::optional<double> perSecond);
+    // Records what a response said about the request limit. Returns whether the limit changed.
+    bool recordLimit(const limit_observation &observation);
 
     bool isLeaving() const { return m_isLeaving; }
     bool isQuiet(steady_time now) const { return now < m_quietUntil; }
@@ -41,6 +48,14 @@
     std::optional<double> requestLimit() const { return m_requestLimit; }
     // When it named a limit for the first time.
     steady_time limitedSince() const { return m_limitedSince; }
+    // Time of the last response that confirmed the limit, or named none.
+    steady_time limitObservedAt() const { return m_limitObservedAt; }
+    // Returns whether it is limited and no response said so for `limitCheckDelay`. It should get
+    // the next request that its limit permits, which shows whether the limit still holds.
+    bool needsLimitCheck(steady_time now) const
+    {
+        return m_requestLimit && now - m_limitObservedAt >= limitCheckDelay;
+    }
 
 private:
     bool m_isLeaving = false;
@@ -48,6 +63,7 @@
     steady_time m_quietUntil = steady_time::min();
     std::optional<double> m_requestLimit;
     steady_time m_limitedSince = steady_time::min();
+    steady_time m_limitObservedAt = steady_time::min();
 };
 
 } // namespace buckthorngrade
--- a/tests/steering/shared_budgets_test.cc
+++ b/tests/steering/shared_budgets_test.cc
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
 #include <map>
 #include <random>
 #include <string>
@@ -37,6 +39,8 @@
     CPPUNIT_TEST(coldUpstreamsStayWithinTheirRate);
     CPPUNIT_TEST(coldRateHoldsWhenRequestsWaitForConnections);
     CPPUNIT_TEST(unknownInstancesGetNoShare);
+    CPPUNIT_TEST(sharesOfARequestLimitSumUpToIt);
+    CPPUNIT_TEST(probesOfARequestLimitStayBelowHalfOfIt);
     CPPUNIT_TEST(retriesStayWithinSharedBudget);
     CPPUNIT_TEST(regionSharesMoveByAStepAtMost);
     CPPUNIT_TEST(lostRegionMovesEverything);
@@ -117,6 +121,53 @@
         }
     }
 
+    // Guards against shares that exceed a limit in sum, or leave a part of it unused, for any
+    // number of instances.
+    void sharesOfARequestLimitSumUpToIt()
+    {
+        for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+            std::mt19937_64 random(seed);
+            const std::size_t instances = 1 + random() % 6'000;
+            const double limit = static_cast<double>(random() % 4'000) / 100;
+            std::size_t sum = 0;
+            std::uint32_t most = 0;
+            std::uint32_t least = UINT32_MAX;
+            for (std::size_t rank = 0; rank < instances; ++rank) {
+                const rate_share share = requestLimitShare(limit, instances, rank);
+                CPPUNIT_ASSERT(share.interval > requestLimitInterval);
+                sum += share.requests;
+                most = std::max(most, share.requests);
+                least = std::min(least, share.requests);
+            }
+            const rate_share first = requestLimitShare(limit, instances, 0);
+            const double permitted = std::max(limit, minRequestLimit)
+                * std::chrono::duration<double>(first.interval).count();
+            const std::string message
+                = fmt::format("seed {}: {} of {} for {}", seed, sum, permitted, instances);
+            CPPUNIT_ASSERT_MESSAGE(message, static_cast<double>(sum) <= permitted);
+            CPPUNIT_ASSERT_MESSAGE(message, static_cast<double>(sum) >= std::floor(limit * 4));
+            CPPUNIT_ASSERT_MESSAGE(message, sum >= 1 && most - least <= 1);
+        }
+        for (const double limit : {0.0, 0.01, minRequestLimit})
+            CPPUNIT_ASSERT(requestLimitShare(limit, 1, 0).interval >= 10s);
+    }
+
+    // Guards against instances without contact that all check a limit at the same time, or too
+    // often.
+    void probesOfARequestLimitStayBelowHalfOfIt()
+    {
+        for (const std::size_t instances : {2U, 11U, 60U, 185U, 5'900U})
+            for (const double limit : {0.5, 1.0, 3.0, 10.0}) {
+                std::vector<steady_time> sent;
+                for (std::size_t rank = 0; rank < instances; ++rank) {
+                    const auto interval = limitProbeShare(limit, instances, rank).interval;
+                    for (auto at = start + interval; at < start + 20min; at += interval)
+                        sent.push_back(at);
+                }
+                CPPUNIT_ASSERT(static_cast<double>(mostWithin(sent, 4s)) <= 0.5 * limit * 4 + 5);
+            }
+    }
+
     void unknownInstancesGetNoShare()
     {
         CPPUNIT_ASSERT_EQUAL(0U, coldStartShare({}, "entry-0", "upstream", "near", 20).requests);
