Share the request limits of upstreams among the entry instances

An instance without a share of a limit gets no response from the upstream, and so does not learn that the limit has changed or is over; with 60 and more instances these are most. An instance that has just started does not know any limit.

Reports name the limits that upstreams named to the instance and the ends of these limits, if the last answers did not show them to be known, 64 at most. Each control instance keeps the newest observation of each process of an upstream (upstream_limit_table) and answers with the ones that changed since the version that the report names. A confirmation is passed on again after 5 s, so that instances without a share can tell a limit that holds from one that nobody has checked.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -97,6 +97,7 @@
     m_listing.describe(m_loop.now(), result);
     for (wire::region_load &load : m_proxy.ownLoads())
         *result.add_loads() = std::move(load);
+    m_proxy.describeLimits(result);
     return result;
 }
 
@@ -129,6 +130,7 @@
     applyEvacuations(view);
     if (m_listing.apply(view, m_loop.now()))
         m_proxy.setUpstreams(m_listing.listing());
+    m_proxy.applyLimits(view);
     if (view.has_leader() && view.entries_size() > 0) {
         std::vector<peer_instance> instances;
         for (const wire::node_entry &entry : view.entries())
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -151,6 +151,16 @@
         m_regionLoads[{load.service(), load.region()}] = load.requests();
 }
 
+void reverse_proxy::describeLimits(wire::node_report &report) const
+{
+    m_limits.describe(m_upstreams, m_loop.now(), report);
+}
+
+void reverse_proxy::applyLimits(const wire::node_view &view)
+{
+    m_limits.apply(view, m_loop.now(), m_upstreams);
+}
+
 void reverse_proxy::recordLeaving(const upstream_pointer &upstream)
 {
     if (upstream->notices->isLeaving())
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "carrier/limit_tracker.h"
 #include "carrier/proxy_header_names.h"
 #include "carrier/request_log.h"
 #include "carrier/route_table.h"
@@ -55,6 +56,10 @@
     // Sets the entry instances that a control instance reported.
     void setInstances(const std::vector<peer_instance> &instances);
     void setRegionLoads(const std::vector<wire::region_load> &loads);
+    // Adds the request limits that the other entry instances may not know to a report, and applies
+    // those that they named.
+    void describeLimits(wire::node_report &report) const;
+    void applyLimits(const wire::node_view &view);
     // Counts a request that was rejected as malformed, and logs it within the log's rate limit.
     void recordInvalidRequest(const std::string &reason);
     // Sets the time at which requests in progress will be cut off. Requests, and further attempts,
@@ -153,6 +158,7 @@
     std::shared_ptr<const route_table> m_routes;
     response_budget m_responseBudget; // must outlive the connections of m_upstreams
     upstream_table m_upstreams;
+    limit_tracker m_limits;
     peer_view &m_peers;
     service_splitter m_splitter;
     std::map<std::string, service_state> m_services;
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -372,19 +372,36 @@
 bool upstream_table::recordLimit(upstream_state &upstream, std::optional<double> perSecond)
 {
     const std::optional<double> before = upstream.notices->requestLimit();
-    if (!upstream.notices->recordLimit({perSecond, m_loop.now()}))
-        return false;
-    if (perSecond)
+    return upstream.notices->recordLimit({perSecond, m_loop.now()})
+        && logLimitChange(upstream.listed.id, upstream.listed.startedMs, before, perSecond, false);
+}
+
+void upstream_table::recordSharedLimit(const std::string &id, std::int64_t startedMs,
+                                       const limit_observation &observation)
+{
+    const auto [found, isNew] = m_notices.try_emplace({id, startedMs});
+    if (isNew)
+        found->second.listedAt = m_loop.now();
+    upstream_notices &notices = *found->second.notices;
+    const std::optional<double> before = notices.requestLimit();
+    if (notices.recordSharedLimit(observation))
+        logLimitChange(id, startedMs, before, observation.perSecond, true);
+}
+
+bool upstream_table::logLimitChange(const std::string &id, std::int64_t startedMs,
+                                    std::optional<double> before, std::optional<double> after,
+                                    bool isShared)
+{
+    if (after)
         m_events.write(event_id::upstream_limited,
-                       {{"upstream", upstream.listed.id},
-                        {"started_ms", upstream.listed.startedMs},
-                        {"per_second", *perSecond},
-                        {"in_flight", upstream.inFlight}});
+                       {{"upstream", id},
+                        {"started_ms", startedMs},
+                        {"per_second", *after},
+                        {"shared", isShared}});
     else
-        m_events.write(
-            event_id::upstream_unlimited,
-            {{"upstream", upstream.listed.id}, {"started_ms", upstream.listed.startedMs}});
-    return perSecond && (!before || *perSecond < *before);
+        m_events.write(event_id::upstream_unlimited,
+                       {{"upstream", id}, {"started_ms", startedMs}, {"shared", isShared}});
+    return after && (!before || *after < *before);
 }
 
 void upstream_table::closeIdle()
--- a/src/carrier/upstream_table.h
+++ b/src/carrier/upstream_table.h
@@ -151,8 +151,15 @@
     void recordQuiet(upstream_state &upstream, std::chrono::milliseconds period);
     // Returns whether the upstream now takes fewer requests than before.
     bool recordLimit(upstream_state &upstream, std::optional<double> perSecond);
+    // Records what the process `startedMs` of the upstream `id`, which need not be listed yet, said
+    // to another instance.
+    void recordSharedLimit(const std::string &id, std::int64_t startedMs,
+                           const limit_observation &observation);
 
 private:
+    // Logs a change of the limit from `before`. Returns whether it was lowered.
+    bool logLimitChange(const std::string &id, std::int64_t startedMs, std::optional<double> before,
+                        std::optional<double> after, bool isShared);
     void extendCold(upstream_state &upstream, steady_time until, const char *reason);
 
     event_loop &m_loop;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -6,7 +6,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
+#include <random>
 #include <ranges>
 #include <string>
 #include <vector>
@@ -61,6 +63,12 @@
     return result;
 }
 
+std::uint64_t newEpoch()
+{
+    std::random_device random;
+    return (std::uint64_t{random()} << 32U | random()) | 1U;
+}
+
 std::vector<std::string> failureDomains(const node_settings &settings)
 {
     std::vector<std::string> result;
@@ -84,8 +92,9 @@
               m_replica->receive(std::move(bytes));
           },
           events)
+    , m_upstreamLimits(newEpoch())
     , m_listReader(upstreamSource, failureDomains(settings), *m_replica, clock, events, metrics)
-    , m_syncService(*m_replica, m_state, m_listReader, m_entryInstances, clock)
+    , m_syncService(*m_replica, m_state, m_listReader, m_entryInstances, m_upstreamLimits, clock)
     , m_listingLinkService(m_listReader, clock)
     , m_listFollower(
           m_listReader, *m_replica,
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -13,6 +13,7 @@
 #include "control/listing_link_service.h"
 #include "control/node_sync_service.h"
 #include "control/routing_service.h"
+#include "control/upstream_limit_table.h"
 #include "control/upstream_list_reader.h"
 #include "model/node_settings.h"
 
@@ -62,6 +63,7 @@
     std::unique_ptr<replica> m_replica;
     grpc_peer_service m_peerLinkService;
     entry_instance_table m_entryInstances;
+    upstream_limit_table m_upstreamLimits;
     upstream_list_reader m_listReader;
     node_sync_service m_syncService;
     listing_link_service m_listingLinkService;
--- a/src/control/node_sync_service.cc
+++ b/src/control/node_sync_service.cc
@@ -5,11 +5,12 @@
 node_sync_service::node_sync_service(const replica &log, const control_state &state,
                                      const upstream_list_reader &listReader,
                                      entry_instance_table &entryInstances,
-                                     const clock_source &clock)
+                                     upstream_limit_table &limits, const clock_source &clock)
     : m_log(log)
     , m_state(state)
     , m_listReader(listReader)
     , m_entryInstances(entryInstances)
+    , m_limits(limits)
     , m_clock(clock)
 { }
 
@@ -18,6 +19,7 @@
 {
     const steady_time now = m_clock.now();
     m_entryInstances.update(*report, now);
+    m_limits.update(*report, now);
     const role_view role = m_log.view();
     view->set_replica(role.self);
     view->set_has_leader(role.isLeader ? role.isConnected : role.leader != 0 && role.isConnected);
@@ -36,8 +38,10 @@
     if (evacuated.revision != report->evacuation_revision())
         for (const std::string &domain : evacuated.domains)
             view->add_evacuated(domain);
-    if (report->wants_details())
+    if (report->wants_details()) {
         addInstances(now, *view);
+        m_limits.addUpdate(*report, now, *view);
+    }
     if (!report->omits_listing())
         m_listReader.addUpdate(*report, now, *view);
     return grpc::Status::OK;
--- a/src/control/node_sync_service.h
+++ b/src/control/node_sync_service.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "control/control_state.h"
 #include "control/entry_instance_table.h"
+#include "control/upstream_limit_table.h"
 #include "control/upstream_list_reader.h"
 #include "link.grpc.pb.h"
 
@@ -17,7 +18,7 @@
     // All references must outlive this object.
     node_sync_service(const replica &log, const control_state &state,
                       const upstream_list_reader &listReader, entry_instance_table &entryInstances,
-                      const clock_source &clock);
+                      upstream_limit_table &limits, const clock_source &clock);
 
     grpc::Status Sync(grpc::ServerContext *context, const wire::node_report *report,
                       wire::node_view *view) override;
@@ -29,6 +30,7 @@
     const control_state &m_state;
     const upstream_list_reader &m_listReader;
     entry_instance_table &m_entryInstances;
+    upstream_limit_table &m_limits;
     const clock_source &m_clock;
 };
 
--- a/src/steering/shared_rate.cc
+++ b/src/steering/shared_rate.cc
@@ -19,7 +19,7 @@
 // the interval when the first one is delayed in transit.
 constexpr std::chrono::milliseconds transitMargin{100};
 // Twice the time after which an instance with a share confirms the limit again.
-constexpr std::chrono::milliseconds minProbeDelay{10'000};
+constexpr std::chrono::milliseconds minProbeDelay{20'000};
 
 } // namespace
 
--- a/src/steering/upstream_notices.cc
+++ b/src/steering/upstream_notices.cc
@@ -18,6 +18,29 @@
 }
 
 bool upstream_notices::recordLimit(const limit_observation &observation)
+{
+    if (observation.perSecond || m_requestLimit || m_ownLimit)
+        m_ownLimit = observation;
+    return applyLimit(observation);
+}
+
+bool upstream_notices::recordSharedLimit(const limit_observation &observation)
+{
+    m_sharedLimit = observation;
+    return applyLimit(observation);
+}
+
+std::optional<limit_observation> upstream_notices::unsharedLimit() const
+{
+    if (!m_ownLimit || !m_sharedLimit)
+        return m_ownLimit;
+    const bool isKnown = m_ownLimit->at <= m_sharedLimit->at
+        || (m_ownLimit->perSecond == m_sharedLimit->perSecond
+            && m_ownLimit->at - m_sharedLimit->at < limitShareInterval);
+    return isKnown ? std::nullopt : m_ownLimit;
+}
+
+bool upstream_notices::applyLimit(const limit_observation &observation)
 {
     if (observation.at < m_limitObservedAt)
         return false;
--- a/src/steering/upstream_notices.h
+++ b/src/steering/upstream_notices.h
@@ -26,7 +26,8 @@
     static constexpr std::chrono::seconds maxQuietPeriod{300};
     // Requests per second. Higher limits are lowered to this one, which no upstream reaches.
     static constexpr double maxRequestLimit = 1e6;
-    static constexpr std::chrono::seconds limitCheckDelay{5};
+    static constexpr std::chrono::seconds limitCheckDelay{10};
+    static constexpr std::chrono::seconds limitShareInterval{5};
 
     // Returns whether this is the first notice that it leaves.
     bool recordLeaving();
@@ -35,8 +36,10 @@
     // The upstream responded without asking for a quiet period.
     void recordResponse(steady_time now);
 
-    // Records what a response said about the request limit. Returns whether the limit changed.
+    // Record what a response to this instance, or to another one, said about the request limit. The
+    // latest response counts. Return whether the limit changed.
     bool recordLimit(const limit_observation &observation);
+    bool recordSharedLimit(const limit_observation &observation);
 
     bool isLeaving() const { return m_isLeaving; }
     bool isQuiet(steady_time now) const { return now < m_quietUntil; }
@@ -50,6 +53,9 @@
     steady_time limitedSince() const { return m_limitedSince; }
     // Time of the last response that confirmed the limit, or named none.
     steady_time limitObservedAt() const { return m_limitObservedAt; }
+    // Returns the last observation of this instance if the others do not know it: it differs from
+    // the last shared one, or confirms it `limitShareInterval` later.
+    std::optional<limit_observation> unsharedLimit() const;
     // Returns whether it is limited and no response said so for `limitCheckDelay`. It should get
     // the next request that its limit permits, which shows whether the limit still holds.
     bool needsLimitCheck(steady_time now) const
@@ -58,12 +64,16 @@
     }
 
 private:
+    bool applyLimit(const limit_observation &observation);
+
     bool m_isLeaving = false;
     bool m_mustProve = false; // no response since the last quiet period
     steady_time m_quietUntil = steady_time::min();
     std::optional<double> m_requestLimit;
     steady_time m_limitedSince = steady_time::min();
     steady_time m_limitObservedAt = steady_time::min();
+    std::optional<limit_observation> m_ownLimit; // set once it has named a limit
+    std::optional<limit_observation> m_sharedLimit;
 };
 
 } // namespace buckthorngrade
