Assign 1.25 times a request limit to several instances

The shares now sum up to 1.25 times the limit, within the 1.5 times that the users permit, and one instance alone still keeps to the limit. Placement counts all slots of a limited upstream again: by the slots that the limit amounts to, its objects moved away and it was used less. Checks of a limit by instances without a share are down to a quarter of it, so that the bound holds with them, too.

--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -426,9 +426,9 @@
     for (const upstream_state *upstream : usable) {
         placement_candidate &candidate = candidates.emplace_back();
         candidate.hash = upstream->hash;
-        candidate.serviceTime = serviceTimeOf(*upstream, now, request.latencyTarget);
-        candidate.slots = upstream->usableSlots(candidate.serviceTime);
+        candidate.slots = std::max(1U, upstream->listed.slots);
         candidate.load = upstream->estimatedLoad(now);
+        candidate.serviceTime = serviceTimeOf(*upstream, now, request.latencyTarget);
         candidate.failureShare = upstream->estimatedFailureShare(now);
         candidate.isWarm = affinity && upstream->isWarmFor(*affinity, now);
         candidate.roundTrip = networkLatencyTo(*upstream);
--- a/src/steering/shared_rate.cc
+++ b/src/steering/shared_rate.cc
@@ -58,9 +58,10 @@
     const double rate = std::max(perSecond, minRequestLimit);
     const auto interval = std::max(
         requestLimitInterval, std::chrono::ceil<std::chrono::milliseconds>(real_seconds(1 / rate)));
-    const auto wholeRequests
-        = std::max(std::size_t{1}, static_cast<std::size_t>(rate * real_seconds(interval).count()));
     const std::size_t instances = std::max(std::size_t{1}, instanceCount);
+    const double assignedRate = instances == 1 ? rate : rate * limitOvercommitment;
+    const auto wholeRequests = std::max(
+        std::size_t{1}, static_cast<std::size_t>(assignedRate * real_seconds(interval).count()));
     const std::size_t remainder = rank < wholeRequests % instances ? 1 : 0;
     return {static_cast<std::uint32_t>(wholeRequests / instances + remainder),
             interval + transitMargin};
@@ -69,7 +70,7 @@
 rate_share limitProbeShare(double perSecond, std::size_t instanceCount, std::size_t rank)
 {
     const double rate = std::max(perSecond, minRequestLimit);
-    const real_seconds spread(2 * static_cast<double>(instanceCount + rank) / rate);
+    const real_seconds spread(4 * static_cast<double>(instanceCount + rank) / rate);
     return {1, minProbeDelay + std::chrono::ceil<std::chrono::milliseconds>(spread)};
 }
 
--- a/src/steering/shared_rate.h
+++ b/src/steering/shared_rate.h
@@ -45,19 +45,23 @@
 // The limit that an upstream names is divided over this time, or over the time between two requests
 // if that is longer.
 constexpr std::chrono::milliseconds requestLimitInterval{4'000};
+// The sum of the shares is the limit times this factor if there are several instances. The requests
+// for an upstream are distributed unevenly among them, so some do not use their shares. An upstream
+// permits 1.5 times its limit over a few seconds.
+constexpr double limitOvercommitment = 1.25;
 // A lower limit is raised to this one, in requests per second. Without any request, an upstream
 // could not say that its limit is over.
 constexpr double minRequestLimit = 0.1;
 
 // Returns the share of the instance with the position `rank` of `instanceCount` in the requests
-// that an upstream takes. The shares of all instances sum up to `perSecond`, rounded down to whole
-// requests.
+// that an upstream takes. The shares of all instances sum up to `perSecond`, times
+// limitOvercommitment if there are several, rounded down to whole requests.
 rate_share requestLimitShare(double perSecond, std::size_t instanceCount, std::size_t rank);
 
 // Returns the share of an instance without one in requestLimitShare(). It may be used once the
 // upstream's limit was not confirmed by any instance for the share's interval, so that an instance
 // without contact to the others notices the end of a limit. These requests of all instances
-// together are at most half of `perSecond`, spread evenly.
+// together are at most a quarter of `perSecond`, spread evenly.
 rate_share limitProbeShare(double perSecond, std::size_t instanceCount, std::size_t rank);
 
 } // namespace buckthorngrade
