--- a/tests/control/shared_bounds_history_test.cc
+++ b/tests/control/shared_bounds_history_test.cc
@@ -28,6 +28,8 @@
 }
 
 constexpr auto retryWindow = 10s;
+// The users excuse instances that restart or are cut off.
+constexpr auto settlingTime = 4s;
 // The share of requests that may be retried is zero, so that only the allowance permits retries.
 const shared_retry_budget::limits retryLimits{0, 60, retryWindow};
 
@@ -57,6 +59,9 @@
     // Times over all entry instances.
     const std::vector<steady_time> &coldSends() const { return m_coldSends; }
     const std::vector<steady_time> &retries() const { return m_retries; }
+    // Requests of instances whose process runs for `settlingTime` and that were not cut off in that
+    // time, to an upstream that takes `bound` per second.
+    const std::vector<steady_time> &limitedSends() const { return m_limitedSends; }
 
 private:
     struct entry
@@ -69,6 +74,7 @@
         std::string name;
         peer_view peers;
         shared_rate_limiter gate;
+        shared_rate_limiter limitGate;
         shared_retry_budget budget{retryLimits};
         std::uint64_t incarnation = 1;
         steady_time runningFrom = start;
@@ -122,6 +128,15 @@
             each.gate.recordSent(now);
             m_coldSends.push_back(now);
         }
+        const auto rank = shareRank(each.peers.peers(), each.name, "upstream", "r");
+        const rate_share limitShare = rank && each.peers.hasJoined()
+            ? requestLimitShare(m_bound, each.peers.peers().size(), *rank)
+            : rate_share{};
+        if (each.limitGate.tryReserve(now, limitShare)) {
+            each.limitGate.recordSent(now);
+            if (now - each.runningFrom >= settlingTime && now - each.reachableFrom >= settlingTime)
+                m_limitedSends.push_back(now);
+        }
         const bool mayRetry = each.peers.mayUseShares(bootTimeOf(now), retryWindow);
         if (each.budget.tryRetry(now, mayRetry ? each.peers.peers().size() : 0))
             m_retries.push_back(now);
@@ -156,6 +171,7 @@
     std::vector<std::unique_ptr<control>> m_controls;
     std::vector<steady_time> m_coldSends;
     std::vector<steady_time> m_retries;
+    std::vector<steady_time> m_limitedSends;
 };
 
 } // namespace
@@ -167,6 +183,7 @@
     CPPUNIT_TEST_SUITE(shared_bounds_history_test);
     CPPUNIT_TEST(coldRateHoldsWhileInstancesRestartAndAreCutOff);
     CPPUNIT_TEST(retryAllowanceHoldsWhileInstancesRestartAndAreCutOff);
+    CPPUNIT_TEST(requestLimitHoldsWhileInstancesRestartAndAreCutOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +220,24 @@
         }
         CPPUNIT_ASSERT(retries > 500);
     }
+
+    // Guards against more requests than a limited upstream permits while instances join, restart
+    // and lose contact, and against shares that nobody uses after that.
+    void requestLimitHoldsWhileInstancesRestartAndAreCutOff()
+    {
+        std::size_t sent = 0;
+        for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+            const std::size_t entries = 1 + seed * 7 % 60;
+            const double limit = 0.5 + static_cast<double>(seed % 20) / 2;
+            simulation run(seed, entries, limit);
+            run.simulate(60s);
+            const auto most = static_cast<double>(mostWithin(run.limitedSends(), 4s));
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: {} of {}", seed, most, 6 * limit + 5),
+                                   most <= 1.5 * limit * 4 + 5);
+            sent += run.limitedSends().size();
+        }
+        CPPUNIT_ASSERT(sent > 2'000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shared_bounds_history_test);
