--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -342,8 +342,10 @@
     if (sender != nullptr && *sender != m_upstream->listed.id)
         return;
     m_wantsQuiet = notices.quietPeriod.has_value();
-    // An unreadable limit says neither that there is none nor how high it is.
-    if (notices.requestLimit || !notices.hasRequestLimitField)
+    // An unreadable limit says neither that there is none nor how high it is. A misdirected request
+    // was answered by another process, unless the response names this one.
+    const bool isFromAnother = head.status == misdirected && sender == nullptr;
+    if (!isFromAnother && (notices.requestLimit || !notices.hasRequestLimitField))
         m_proxy.recordLimit(m_upstream, notices.requestLimit);
     if (notices.isLeaving)
         m_proxy.recordLeaving(m_upstream);
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -395,8 +395,10 @@
     std::map<const upstream_state *, rate_shares> shares;
     bool isAnyAtLimit = false;
     std::erase_if(usable, [&](upstream_state *upstream) {
-        const rate_shares &found
-            = shares.emplace(upstream, sharesOf(*upstream, now, mayUseColdShares)).first->second;
+        const rate_shares found = sharesOf(*upstream, now, mayUseColdShares);
+        if (!found.cold && !found.limit)
+            return false;
+        shares.emplace(upstream, found);
         const bool isAtLimit = found.limit && !upstream->limitGate->hasCapacity(now, *found.limit);
         isAnyAtLimit = isAnyAtLimit || isAtLimit;
         return isAtLimit || (found.cold && !upstream->coldGate->hasCapacity(now, *found.cold));
--- a/src/carrier/upstream_table.cc
+++ b/src/carrier/upstream_table.cc
@@ -29,7 +29,7 @@
 constexpr std::chrono::milliseconds coldMargin{500};
 // An upstream may have evicted an object that was not requested for this time.
 constexpr std::chrono::seconds warmLifetime{10};
-// Lower bound of usableSlots(), so that utilization and weights stay finite for a limit of 0.
+// Lower bound of usableSlots(), so that a region's utilization stays finite for a limit of 0.
 constexpr double minUsableSlots = 0.05;
 constexpr std::size_t maxHandledObjects = 1'024; // per upstream
 constexpr std::size_t maxIdleConnections = 16; // per upstream
--- a/src/steering/upstream_notices.h
+++ b/src/steering/upstream_notices.h
@@ -26,6 +26,7 @@
     static constexpr std::chrono::seconds maxQuietPeriod{300};
     // Requests per second. Higher limits are lowered to this one, which no upstream reaches.
     static constexpr double maxRequestLimit = 1e6;
+    // Twice the time after which a confirmed limit is shared again.
     static constexpr std::chrono::seconds limitCheckDelay{10};
     static constexpr std::chrono::seconds limitShareInterval{5};
 
--- a/tests/carrier/request_limit_test.cc
+++ b/tests/carrier/request_limit_test.cc
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(limitEndsWithAResponseThatNamesNone);
     CPPUNIT_TEST(unreadableLimitKeepsTheLastOne);
     CPPUNIT_TEST(limitOfAnotherProcessIsIgnored);
+    CPPUNIT_TEST(misdirectedRequestDoesNotEndTheLimit);
     CPPUNIT_TEST(limitEndsWithItsProcess);
     CPPUNIT_TEST(limitOutlastsReadingsOfTheList);
     CPPUNIT_TEST(requestsThatWaitAreWithdrawn);
@@ -181,6 +182,26 @@
             CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
     }
 
+    // Guards against telling all instances that a limit is over when another process, which has the
+    // address now, rejects a request.
+    void misdirectedRequestDoesNotEndTheLimit()
+    {
+        std::atomic<bool> isReplaced = false;
+        proxy_fixture system({[&](const std::string &request) {
+            if (isReplaced)
+                return scripted_answer{scriptedResponse(421, echo(request), "")};
+            return scripted_answer{scriptedResponse(
+                200, echo(request) + headerNames.requestLimit + ": 5\r\n", "done")};
+        }});
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
+        isReplaced = true;
+        CPPUNIT_ASSERT_EQUAL(503, system.send("/safe/x").status);
+        std::optional<double> limit;
+        system.thread().call(
+            [&] { limit = system.proxy().upstreams().find("u0")->notices->requestLimit(); });
+        CPPUNIT_ASSERT_EQUAL(5.0, limit.value());
+    }
+
     // Guards against a limit that stays with an id when another process has it.
     void limitEndsWithItsProcess()
     {
