--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 import deployment as d  # noqa: E402
 
 CLIENTS = int(os.environ.get("CLIENTS", "12"))
-SECONDS = float(os.environ.get("SECONDS", "60"))
+DURATION = float(os.environ.get("DURATION", "45"))
 BODY_BYTES = 360_000  # the largest upload of the site file
 ANSWER_BYTES = 1500
 EARLY_SHARE = 0.4  # of the long requests, as the site file has it for garble early
@@ -143,7 +143,7 @@
         entry = next(iter(deployment.entries))
         deployment.wait_ready(entry)
         results = []
-        stop_at = time.monotonic() + SECONDS
+        stop_at = time.monotonic() + DURATION
         clients = [Client(i, deployment.front(entry), stop_at, results) for i in range(CLIENTS)]
         for client in clients:
             client.thread.join()
