--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,23 +2,27 @@
 length and are reset on the way: such an answer is not complete and must not look complete."""
 
 import hashlib
+import json
 import os
 import random
 import socket
+import subprocess
 import sys
 import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-2"))
-import deployment as d  # noqa: E402
+sys.path.insert(0, os.path.dirname(FOLDER))
+import deployment_2 as d  # noqa: E402
 
-CLIENTS = int(os.environ.get("CLIENTS", "12"))
-DURATION = float(os.environ.get("DURATION", "45"))
+CLIENT_PROCESSES = 3
+CLIENTS = 12  # of each process
+DURATION = float(os.environ.get("DURATION", "60"))
 BODY_BYTES = 360_000  # the largest upload of the site file
 ANSWER_BYTES = 1500
 EARLY_SHARE = 0.4  # of the long requests, as the site file has it for garble early
 RESET_SHARE = 0.05  # of the answers, as the site file has it for garble unframed
+GARBLING_SHARE = 0.5  # of the backends, the default of garble
 
 
 def whole_answer(identifier):
@@ -62,6 +66,7 @@
                 until = got + self.random.randint(4_000, 40_000)
                 while got < until:
                     got += len(connection.recv(16384))
+                time.sleep(self.random.random() * 0.004)
                 self.spoiled[identifier] = got
                 d.reset(connection)
                 return
@@ -78,51 +83,60 @@
                 connection.sendall(text)
 
 
-class Client:
-    def __init__(self, number, address, stop_at, results):
-        self.number, self.address, self.stop_at, self.results = number, address, stop_at, results
-        self.thread = threading.Thread(target=self._run, daemon=True)
-        self.thread.start()
+def upload(address, identifier):
+    """Returns the status, whether the answer looks complete, and its body as text."""
+    with socket.create_connection(address, timeout=5) as sock:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.sendall(("POST /photo/1 HTTP/1.1\r\nHost: %s\r\n"
+                      "X-Buckthorngrade-Request-Id: %s\r\n"
+                      "X-Buckthorngrade-Deadline-Ms: 4000\r\nContent-Length: %d\r\n"
+                      "Connection: close\r\n\r\n"
+                      % (d.HOST, identifier, BODY_BYTES)).encode())
 
-    def _run(self):
+        def send():
+            try:
+                sock.sendall(b"u" * BODY_BYTES)
+            except OSError:
+                pass  # the answer may come before the body is read
+
+        sender = threading.Thread(target=send, daemon=True)
+        sender.start()
+        head, body = d.read_head(sock)
+        if head is None:
+            return None, False, ""
+        fields = d.fields_of(head)
+        length = int(fields["content-length"])
+        while len(body) < length:
+            more = sock.recv(65536)
+            if not more:
+                break
+            body += more
+        is_sealed = "x-buckthorngrade-server-seal" in fields
+        return (int(head.split(" ")[1]), len(body) == length and is_sealed, body.decode("latin-1"))
+
+
+def run_clients(first, address):
+    """The body of a client process: prints a line for each request."""
+    stop_at = time.monotonic() + DURATION
+    lock = threading.Lock()
+
+    def run(number):
         count = 0
-        while time.monotonic() < self.stop_at:
+        while time.monotonic() < stop_at:
             count += 1
-            identifier = "%04x%012x" % (self.number, count)
+            identifier = "%04x%012x" % (number, count)
             try:
-                self.results.append((identifier,) + self._upload(identifier))
+                result = upload(address, identifier)
             except (OSError, ValueError):
-                self.results.append((identifier, None, False, b""))
-
-    def _upload(self, identifier):
-        with socket.create_connection(self.address, timeout=5) as sock:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.sendall(("POST /photo/1 HTTP/1.1\r\nHost: %s\r\n"
-                          "X-Buckthorngrade-Request-Id: %s\r\n"
-                          "X-Buckthorngrade-Deadline-Ms: 4000\r\nContent-Length: %d\r\n"
-                          "Connection: close\r\n\r\n"
-                          % (d.HOST, identifier, BODY_BYTES)).encode())
-
-            def send():
-                try:
-                    sock.sendall(b"u" * BODY_BYTES)
-                except OSError:
-                    pass  # the answer may come before the body is read
-
-            sender = threading.Thread(target=send, daemon=True)
-            sender.start()
-            head, body = d.read_head(sock)
-            if head is None:
-                return None, False, b""
-            fields = d.fields_of(head)
-            length = int(fields["content-length"])
-            while len(body) < length:
-                more = sock.recv(65536)
-                if not more:
-                    break
-                body += more
-            is_sealed = "x-buckthorngrade-server-seal" in fields
-            return int(head.split(" ")[1]), len(body) == length and is_sealed, body
+                result = (None, False, "")
+            with lock:
+                print(json.dumps((identifier,) + result), flush=True)
+
+    threads = [threading.Thread(target=run, args=(first + i,)) for i in range(CLIENTS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
 def carry_out(record, trouble):
@@ -133,7 +147,8 @@
             for j in range(2):
                 name = "i-%d%d" % (i, j)
                 address = (deployment.host(100 + 10 * i + j), deployment.port["backend"])
-                backends.append(Backend(record, address, name, trouble))
+                garbles = trouble and j < 2 * GARBLING_SHARE
+                backends.append(Backend(record, address, name, garbles))
                 deployment.list.entries[name] = d.entry_of("huvo11a", address, zone, slots=5)
         deployment.start()
         text = deployment.configuration(
@@ -142,11 +157,24 @@
             raise d.CannotRun("the configuration was refused")
         entry = next(iter(deployment.entries))
         deployment.wait_ready(entry)
-        results = []
-        stop_at = time.monotonic() + DURATION
-        clients = [Client(i, deployment.front(entry), stop_at, results) for i in range(CLIENTS)]
+        host, port = deployment.front(entry)
+        clients = [subprocess.Popen([sys.executable, os.path.abspath(__file__), "clients",
+                                     str(i * CLIENTS), host, str(port)],
+                                    stdout=subprocess.PIPE, text=True)
+                   for i in range(CLIENT_PROCESSES)]
+        outputs = [[] for _ in clients]
+
+        def collect(client, output):
+            output.extend(json.loads(line) for line in client.stdout)
+
+        readers = [threading.Thread(target=collect, args=pair) for pair in zip(clients, outputs)]
+        for reader in readers:
+            reader.start()
+        for reader in readers:
+            reader.join()
         for client in clients:
-            client.thread.join()
+            client.wait()
+        results = [result for output in outputs for result in output]
         spoiled = {name: got for backend in backends for name, got in backend.spoiled.items()}
         breaks = []
         served = 0
@@ -158,7 +186,7 @@
                             "complete" if is_whole else "not complete"))
             if status is not None and 200 <= status < 300 and is_whole:
                 served += 1
-                if body != expected:
+                if body.encode("latin-1") != expected:
                     breaks.append("MIXED: client of request %s got a complete 200 with %d of the"
                                   " %d bytes of the answer, which had been reset on the way"
                                   % (identifier, len(body), len(expected)))
@@ -173,4 +201,7 @@
         deployment.stop()
 
 
-d.run_case(FOLDER, carry_out)
+if sys.argv[1:2] == ["clients"]:
+    run_clients(int(sys.argv[2]), (sys.argv[3], int(sys.argv[4])))
+else:
+    d.run_case(FOLDER, carry_out)
--- a/review/7/case.py
+++ b/review/8/case.py
@@ -7,12 +7,14 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-2"))
-import deployment as d  # noqa: E402
+sys.path.insert(0, os.path.dirname(FOLDER))
+import deployment_2 as d  # noqa: E402
 
 DRAIN = 3.0
 SERVES_ON = 3.0  # seconds that the draining backend serves beyond `drain`
-CLIENTS = 8
+CLIENTS = 12
+WORK = 0.8  # seconds that a claim takes
+OBJECTS = 24  # that the requests concern
 # An entry whose id has bytes that are no text in JSON; the fields are those of any entry.
 UNREADABLE = (b'"i-\x9c\x03\xe1\x17\xb2\x0e":{"service":"huvo11a","address":"127.0.0.1:9",'
               b'"zone":"akl-a","version":"v1","slots":5,"state":"ready","cold_remaining":"0ms",'
@@ -39,7 +41,7 @@
             self.arrivals.append((time.monotonic(), identifier))
             self.running.add(identifier)
             self.record.write("%s began to run %s" % (self.name, identifier))
-            time.sleep(0.3)
+            time.sleep(WORK)
             if self.has_ended:
                 return
             body = identifier.encode()
@@ -71,7 +73,8 @@
         try:
             connection.request("POST", "/claim/1", body=b"claim", headers={
                 "Host": d.HOST, "X-Buckthorngrade-Request-Id": identifier,
-                "X-Buckthorngrade-Deadline-Ms": "4000"})
+                "X-Buckthorngrade-Deadline-Ms": "4000",
+                "Cookie": "X-Buckthorngrade-Affinity-Key=%d" % (count * CLIENTS % OBJECTS + number)})
             response = connection.getresponse()
             response.read()
             answer = response.status
@@ -88,14 +91,15 @@
     try:
         backends = {}
         for i, zone in enumerate(d.ZONES):
-            for j in range(2):
+            for j in range(3):
                 name = "i-%d%d" % (i, j)
                 address = (deployment.host(100 + 10 * i + j), deployment.port["backend"])
                 backends[name] = Backend(record, address, name)
                 deployment.list.entries[name] = d.entry_of("huvo11a", address, zone, slots=5)
         deployment.start()
-        text = deployment.configuration(
-            1, [d.Deployment.route("claim", "unsafe", "huvo11a", "4000ms")], ["huvo11a"])
+        route = d.Deployment.route("claim", "unsafe", "huvo11a", "4000ms")
+        route["sticky_sessions"] = True
+        text = deployment.configuration(1, [route], ["huvo11a"])
         if deployment.order("PUT", "/v1/config", text)[0] != 200:
             raise d.CannotRun("the configuration was refused")
         entry = next(iter(deployment.entries))
@@ -112,7 +116,9 @@
                 deployment.list.extra = UNREADABLE
             record.write("the list has an entry that can't be read")
         time.sleep(1.0)
-        leaving = backends["i-00"]  # in the entry instance's own zone
+        since = time.monotonic() - 3.0
+        leaving = max(backends.values(),
+                      key=lambda backend: sum(1 for at, _ in backend.arrivals if at > since))
         with deployment.list.lock:
             deployment.list.entries[leaving.name]["state"] = "draining"
         shown_at = time.monotonic()
--- a/review/lib-2/deployment.py
+++ b/review/deployment_2.py
@@ -15,7 +15,7 @@
 import threading
 import time
 
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(REPOSITORY, "target", "buckthorngrade")
 ZONES = {"akl-a": "akl", "wlg-a": "wlg", "chc-a": "chc"}
 HOST = "ficu95.example"
