--- a/review/6/case.py
+++ b/review/6/case.py
@@ -204,4 +204,4 @@
 if sys.argv[1:2] == ["clients"]:
     run_clients(int(sys.argv[2]), (sys.argv[3], int(sys.argv[4])))
 else:
-    d.run_case(FOLDER, carry_out)
+    d.run_case(os.path.join(FOLDER, "record.txt"), carry_out)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -65,4 +65,4 @@
         deployment.stop()
 
 
-d.run_case(FOLDER, carry_out)
+d.run_case(os.path.join(FOLDER, "record.txt"), carry_out)
--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -26,10 +26,10 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run, with seconds since the start."""
+    """A file that tells what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
-        self._file = open(os.path.join(folder, "record.txt"), "w", encoding="ascii")
+    def __init__(self, path):
+        self._file = open(path, "w", encoding="ascii")
         self._start = time.monotonic()
         self._lock = threading.Lock()
 
@@ -318,9 +318,9 @@
             "born": int(time.time() * 1000)}
 
 
-def run_case(folder, carry_out):
+def run_case(record_path, carry_out):
     """Runs `carry_out(record, trouble)`, which returns a list of breaks of the rule, and exits."""
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("TROUBLE=%d" % trouble)
     try:
