--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -262,7 +262,7 @@
             time.sleep(0.2)
         raise CannotRun("no response to %s %s" % (method, path))
 
-    def configuration(self, version, routes, services, idle_timeout="15000ms"):
+    def configuration(self, version, routes, services, max_body_bytes=67108864):
         columns = ["name", "host", "path_prefix", "kind", "timeout", "target_latency", "priority",
                    "service", "max_attempts", "sticky_sessions", "home_regions", "traffic_split"]
         return json.dumps({
@@ -273,8 +273,8 @@
                                      "cold_start", "cold_per_s"],
                          "rows": [[name, "/health", 390, "h1", False, "3s", 3.7]
                                   for name in services]},
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
-                       "header_timeout": "3000ms", "idle_timeout": idle_timeout}})
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
+                       "header_timeout": "3000ms", "idle_timeout": "15000ms"}})
 
     @staticmethod
     def route(name, kind, service, timeout, attempts=2):
@@ -329,6 +329,11 @@
         record.write("could not run: %s" % reason)
         print("could not run:", reason)
         sys.exit(2)
+    except Exception as failure:  # a fault of the script says nothing about the rule
+        record.write("could not run: %r" % failure)
+        print("could not run: %r" % failure)
+        sys.stdout.flush()
+        os._exit(2)
     for line in breaks:
         record.write("BROKEN: " + line)
         print("BROKEN:", line)
