Keep the failure of a connection that a send has returned

Cause: the kernel reports a reset to one call only. stream_socket::writePending() dropped the error of send() and relied on epoll and recv() to report it again, but the recv() that follows returns 0, as after an orderly close. http_client then took the response, whose end is the end of the connection, for complete. It takes no further write by the caller: output that was pending when the reset arrived is sent between two reads.

The error is now kept, and the close is reported as failed once the data that arrived before has been read. EPIPE does not count. The kernel returns it if the peer closed in order before the reset, or if an earlier call has returned the error, so such a response stays complete.

--- a/src/net/stream_socket.cc
+++ b/src/net/stream_socket.cc
@@ -155,8 +155,12 @@
             done += static_cast<std::size_t>(written);
             continue;
         }
-        // Errors other than a full send buffer are reported by epoll, after the data that the peer
-        // sent before has been read.
+        // The failure is reported after the data that the peer sent before has been read. It has to
+        // be recorded because the kernel reports it only once: the receive that follows returns 0,
+        // as after an orderly close. EPIPE says nothing about the data received: the peer closed in
+        // order and then reset the connection, or an earlier call has returned the error.
+        m_hasFailed = m_hasFailed
+            || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != EPIPE);
         break;
     }
     m_sentBytes += done;
@@ -230,7 +234,7 @@
 void stream_socket::fail(close_reason reason)
 {
     close();
-    m_handlers.onClosed(reason);
+    m_handlers.onClosed(m_hasFailed ? close_reason::failed : reason);
 }
 
 void stream_socket::close()
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -82,6 +82,7 @@
     int m_descriptor;
     bool m_isConnected;
     bool m_isPaused = false;
+    bool m_hasFailed = false; // a send returned the error of the connection
     std::size_t m_readLimit = defaultReadLimitBytes;
     std::uint32_t m_events = 0;
     std::string m_input;
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(refusalWithoutIdOnReusedConnectionGives502);
     CPPUNIT_TEST(requestWithoutIdGetsNewConnection);
     CPPUNIT_TEST(responseWithoutLengthNeedsCleanClose);
+    CPPUNIT_TEST(responseResetDuringUploadIsNotForwarded);
     CPPUNIT_TEST(responseCutWithinHeadIsNotForwarded);
     CPPUNIT_TEST(timeoutAfterSendingGives504);
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
@@ -350,6 +351,34 @@
         CPPUNIT_ASSERT_EQUAL(502, resetBeforeEnd.send("/once/x", "id", "c").status);
     }
 
+    // Guards against forwarding the part of a response that arrived before a reset as a complete
+    // response. The kernel reports the reset to the write of the upload that comes next, and not to
+    // the read behind it.
+    void responseResetDuringUploadIsNotForwarded()
+    {
+        for (const bool resets : {true, false}) {
+            proxy_fixture system({answerOk});
+            http_connection caller{
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address()))};
+            system.upstreams[0]->answerHeadsWith([&](const std::string &request) {
+                // The proxy handles this part of the upload before the end of the response, because
+                // it arrives first.
+                caller.send(std::string(1'000, 'b'));
+                return scripted_answer{"HTTP/1.1 200 OK\r\n" + echo(request) + headerNames.seal
+                                           + ": s\r\nConnection: close\r\n\r\nbytes",
+                                       !resets, resets};
+            });
+            caller.send(uploadHead(false, 5'000) + std::string(2'000, 'b'));
+            Poco::Net::HTTPResponse head;
+            CPPUNIT_ASSERT(caller.readHead(head));
+            CPPUNIT_ASSERT_EQUAL(resets ? 502 : 200, static_cast<int>(head.getStatus()));
+            std::string body;
+            CPPUNIT_ASSERT(caller.readBody(head, [&](std::string_view part) { body += part; }));
+            CPPUNIT_ASSERT_EQUAL(!resets, body == "bytes");
+            CPPUNIT_ASSERT_EQUAL(!resets, head.has(headerNames.seal));
+        }
+    }
+
     // Guards against forwarding the part of a response head that arrived before the upstream closed
     // the connection as a complete response.
     void responseCutWithinHeadIsNotForwarded()
