Move the raw server of upstream_attempt_test to testing/

Tests of other readers of responses need a server that sends any bytes, too. The test keeps a wrapper that passes its connections on as http_connection; what it checks is unchanged.

--- /dev/null
+++ b/testing/raw_server.cc
@@ -0,0 +1,35 @@
+#include "testing/raw_server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+namespace buckthorngrade {
+
+raw_server::raw_server(handler serve)
+    : m_listener(Poco::Net::SocketAddress("127.0.0.1:0"))
+    , m_thread([this, serve = std::move(serve)] { run(serve); })
+{ }
+
+raw_server::~raw_server()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
+
+void raw_server::run(const handler &serve)
+{
+    const Poco::Timespan pollTime(0, 20'000);
+    while (!m_isStopping) {
+        if (!m_listener.poll(pollTime, Poco::Net::Socket::SELECT_READ))
+            continue;
+        ++m_connections;
+        try {
+            Poco::Net::StreamSocket connection = m_listener.acceptConnection();
+            serve(connection);
+        } catch (const Poco::Exception &) { // the peer closed the connection
+        }
+    }
+}
+
+} // namespace buckthorngrade
--- a/tests/entry/upstream_attempt_test.cc
+++ b/tests/entry/upstream_attempt_test.cc
@@ -2,17 +2,15 @@
 #include "entry/upstream_attempt.h"
 #include "testing/http_client.h"
 #include "testing/http_connection.h"
+#include "testing/raw_server.h"
 #include "testing/wait.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <thread>
 
 using namespace buckthorngrade;
 using namespace std::chrono_literals;
@@ -24,32 +22,16 @@
 {
 public:
     explicit raw_upstream(std::function<void(http_connection &)> serve)
-        : m_listener(Poco::Net::SocketAddress("127.0.0.1:0"))
-        , m_thread([this, serve = std::move(serve)] {
-            while (!m_isStopping) {
-                if (!m_listener.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ))
-                    continue;
-                ++connections;
-                try {
-                    http_connection connection(m_listener.acceptConnection());
-                    serve(connection);
-                } catch (const Poco::Exception &) { // the peer closed the connection
-                }
-            }
+        : m_server([serve = std::move(serve)](Poco::Net::StreamSocket &socket) {
+            http_connection connection(socket);
+            serve(connection);
         })
     { }
-    ~raw_upstream()
-    {
-        m_isStopping = true;
-        m_thread.join();
-    }
-    upstream_spec spec() const { return {"u", m_listener.address().toString(), "d", 4, 100, ""}; }
-    std::atomic<int> connections = 0;
+    upstream_spec spec() const { return {"u", m_server.address(), "d", 4, 100, ""}; }
+    int connections() const { return m_server.connections(); }
 
 private:
-    Poco::Net::ServerSocket m_listener;
-    std::atomic<bool> m_isStopping = false;
-    std::thread m_thread;
+    raw_server m_server;
 };
 
 struct attempt_result
@@ -150,7 +132,7 @@
         const attempt_result result = runAttempt(upstream.spec(), 0ms);
         CPPUNIT_ASSERT(result.failure == failure_point::deadline_unsent);
         CPPUNIT_ASSERT(!result.mayHaveSent);
-        CPPUNIT_ASSERT_EQUAL(0, upstream.connections.load());
+        CPPUNIT_ASSERT_EQUAL(0, upstream.connections());
     }
 
     void timeoutAfterSendingMayHaveRun()
@@ -194,7 +176,7 @@
         const attempt_result second = runAttempt(upstream.spec(), 30s);
         CPPUNIT_ASSERT(second.failure == failure_point::sent_no_head);
         CPPUNIT_ASSERT_EQUAL(2, heads.load());
-        CPPUNIT_ASSERT_EQUAL(1, upstream.connections.load());
+        CPPUNIT_ASSERT_EQUAL(1, upstream.connections());
     }
 
     void closedIdleConnectionIsNotUsed()
@@ -222,7 +204,7 @@
         });
         for (int i = 0; i < 3; ++i)
             CPPUNIT_ASSERT_EQUAL(std::string("ok"), runAttempt(upstream.spec(), 30s).body);
-        CPPUNIT_ASSERT_EQUAL(3, upstream.connections.load());
+        CPPUNIT_ASSERT_EQUAL(3, upstream.connections());
     }
 
     void truncatedBodyIsDetected()
