Keep the failure that a write returned in socket_stream, too

Cause: upstream_attempt goes on to read a response when a write of the request fails, because the upstream may have answered before it closed. That write has already taken the reset from the kernel, so socket_stream::fill() saw the end of an orderly close, and body_reader a complete body. The window is narrow where each part is sent only while nothing can be read, and wide where the head and the first 64 KB do not fit into the send buffer.

fill() now reports a failure in place of the end if a write has failed with anything but EPIPE, as stream_socket does.

--- a/src/base/socket_stream.cc
+++ b/src/base/socket_stream.cc
@@ -102,6 +102,9 @@
         const ssize_t count
             = ::recv(descriptor(), m_buffer.data() + m_end, m_buffer.size() - m_end, 0);
         if (count >= 0) {
+            // A send has already returned the error, so it is not reported again.
+            if (count == 0 && m_hasFailed)
+                throw socket_error(socket_error::kind::closed, "receive: the connection failed");
             m_end += static_cast<std::size_t>(count);
             return count > 0;
         }
@@ -126,8 +129,12 @@
         }
         if (errno == EAGAIN)
             return false;
-        if (errno != EINTR)
-            throw socket_error(socket_error::kind::closed, systemErrorMessage("send", errno));
+        if (errno == EINTR)
+            continue;
+        // EPIPE says nothing about the data received: the peer closed in order and then reset the
+        // connection, or an earlier call has returned the error.
+        m_hasFailed = m_hasFailed || errno != EPIPE;
+        throw socket_error(socket_error::kind::closed, systemErrorMessage("send", errno));
     }
 }
 
--- a/src/base/socket_stream.h
+++ b/src/base/socket_stream.h
@@ -49,8 +49,9 @@
 
     // Waits until data can be read or the peer has closed. Returns false at the deadline.
     bool waitReadable(steady_time deadline) const;
-    // Reads at least one byte into the buffer. Returns false at the end of the stream. Throws
-    // socket_error on failure or at the deadline.
+    // Reads at least one byte into the buffer. Returns false at the end of the stream, which the
+    // peer has closed in order. Throws socket_error on failure, also if a write reported the
+    // failure before, or at the deadline.
     bool fill(steady_time deadline);
     std::string_view buffered() const { return {m_buffer.data() + m_begin, m_end - m_begin}; }
     void consume(std::size_t count) { m_begin += count; }
@@ -85,6 +86,7 @@
     // Keeps interrupt() from using the descriptor after close(), when its number may be reused.
     std::unique_ptr<std::mutex> m_closeMutex = std::make_unique<std::mutex>();
     bool m_isClosed = false;
+    bool m_hasFailed = false; // a send returned the error of the connection
     std::vector<char> m_buffer;
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
--- a/testing/raw_server.cc
+++ b/testing/raw_server.cc
@@ -4,6 +4,9 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace buckthorngrade {
 
 raw_server::raw_server(handler serve)
@@ -17,6 +20,14 @@
     m_thread.join();
 }
 
+void raw_server::limitBuffers()
+{
+    constexpr int receiveBytes = 4 * 1024;
+    constexpr int segmentBytes = 536; // the kernel sizes the peer's send buffer in segments
+    m_listener.setReceiveBufferSize(receiveBytes);
+    m_listener.setOption(IPPROTO_TCP, TCP_MAXSEG, segmentBytes);
+}
+
 void raw_server::run(const handler &serve)
 {
     const Poco::Timespan pollTime(0, 20'000);
--- a/testing/raw_server.h
+++ b/testing/raw_server.h
@@ -28,6 +28,9 @@
     std::uint16_t port() const { return m_listener.address().port(); }
     // Number of connections accepted so far.
     int connections() const { return m_connections; }
+    // Makes the server's side of later connections so narrow that a peer can't hand 64 KB to its
+    // kernel before some of it has been read.
+    void limitBuffers();
 
 private:
     void run(const handler &serve);
--- a/tests/entry/upstream_attempt_test.cc
+++ b/tests/entry/upstream_attempt_test.cc
@@ -29,6 +29,7 @@
     { }
     upstream_spec spec() const { return {"u", m_server.address(), "d", 4, 100, ""}; }
     int connections() const { return m_server.connections(); }
+    void limitBuffers() { m_server.limitBuffers(); }
 
 private:
     raw_server m_server;
@@ -57,6 +58,7 @@
     CPPUNIT_TEST(connectionWithUnsolicitedBytesIsNotReused);
     CPPUNIT_TEST(truncatedBodyIsDetected);
     CPPUNIT_TEST(earlyResponseToALongUploadIsReceived);
+    CPPUNIT_TEST(responseResetDuringUploadIsTruncated);
     CPPUNIT_TEST_SUITE_END();
 
     upstream_pool m_pool;
@@ -234,6 +236,24 @@
         CPPUNIT_ASSERT(!result.failure);
         CPPUNIT_ASSERT_EQUAL(std::string("no"), result.body);
     }
+
+    // Guards against taking the part of a response without a length that arrived before a reset for
+    // the whole response. The upload does not fit into the buffers, so the reset is reported to a
+    // write.
+    void responseResetDuringUploadIsTruncated()
+    {
+        raw_upstream upstream([](http_connection &connection) {
+            connection.waitReadable(30s);
+            connection.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+            connection.reset();
+        });
+        upstream.limitBuffers();
+        const attempt_result result = runAttempt(
+            upstream.spec(), 30s, std::string(2 * request_body::maxBufferedBytes, 'x'));
+        CPPUNIT_ASSERT(!result.failure);
+        CPPUNIT_ASSERT_EQUAL(std::string("part"), result.body);
+        CPPUNIT_ASSERT(result.isTruncated);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_attempt_test);
