Test malformed response heads wherever the product reads responses

Other systems passed on answers with the status 000, and answers with a blank or a control byte in the name of a field. parseResponseHead() and findHeadEnd() reject both already, so nothing is changed in the product. The tests keep it so: 12 texts in the place of the status code and 23 field lines, among them a Content-Length and a Transfer-Encoding whose names are malformed.

reverse_proxy_test::responseWithMalformedHeadIsNotForwarded sends each of them in answer to a short request and in the middle of an upload, and expects 502 without the upstream's seal or body. upstream_attempt_test::malformedHeadIsNoResponse does it for the product's own entry interface, and instance_list_test::pageWithMalformedHeadFailsTheRead for the provider's list. instance_list_test::pageEndedByResetFailsTheRead covers a page without a length that is reset on the way, which was handled, too.

--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -1,5 +1,6 @@
 #include "proxy_fixture.h"
 #include "testing/http_connection.h"
+#include "testing/malformed_heads.h"
 #include "testing/wait.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -84,6 +85,7 @@
     CPPUNIT_TEST(responseWithoutLengthNeedsCleanClose);
     CPPUNIT_TEST(responseResetDuringUploadIsNotForwarded);
     CPPUNIT_TEST(responseCutWithinHeadIsNotForwarded);
+    CPPUNIT_TEST(responseWithMalformedHeadIsNotForwarded);
     CPPUNIT_TEST(timeoutAfterSendingGives504);
     CPPUNIT_TEST(callerDisconnectCancelsIdempotentRequest);
     CPPUNIT_TEST(replacedUpstreamGetsNoMoreRequests);
@@ -407,6 +409,40 @@
         CPPUNIT_ASSERT_EQUAL(std::string("done"), response.body);
     }
 
+    // Guards against forwarding a response whose head is malformed, in answer to a short request
+    // and in the middle of an upload, or a body that begins or ends at the wrong byte because of
+    // it.
+    void responseWithMalformedHeadIsNotForwarded()
+    {
+        const auto check = [](const std::string &what, const std::string &status,
+                              const std::string &fields) {
+            const auto answer = [&](const std::string &request) {
+                return scripted_answer{fmt::format("HTTP/1.1 {} X\r\n{}{}{}: s\r\n"
+                                                   "Content-Length: 5\r\n\r\nbytes",
+                                                   status, fields, echo(request), headerNames.seal),
+                                       true, false};
+            };
+            proxy_fixture system({answer});
+            const http_response response = system.send("/once/x", "id", "c");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 502, response.status);
+            CPPUNIT_ASSERT_MESSAGE(what, response.header(headerNames.seal).empty());
+            CPPUNIT_ASSERT_MESSAGE(what, response.body.find("bytes") == std::string::npos);
+
+            system.upstreams[0]->answerHeadsWith(answer);
+            http_connection caller{
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(system.address()))};
+            caller.send(uploadHead(false, 5'000) + std::string(2'000, 'b'));
+            Poco::Net::HTTPResponse head;
+            CPPUNIT_ASSERT_MESSAGE(what, caller.readHead(head));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 502, static_cast<int>(head.getStatus()));
+            CPPUNIT_ASSERT_MESSAGE(what, !head.has(headerNames.seal));
+        };
+        for (const std::string &code : malformedStatusCodes())
+            check("status " + printable(code), code, "");
+        for (const std::string &line : malformedFieldLines())
+            check("field " + printable(line), "200", line + "\r\n");
+    }
+
     void timeoutAfterSendingGives504()
     {
         proxy_fixture system({[](const std::string &) { return scripted_answer{}; }});
--- a/tests/entry/upstream_attempt_test.cc
+++ b/tests/entry/upstream_attempt_test.cc
@@ -2,10 +2,12 @@
 #include "entry/upstream_attempt.h"
 #include "testing/http_client.h"
 #include "testing/http_connection.h"
+#include "testing/malformed_heads.h"
 #include "testing/raw_server.h"
 #include "testing/wait.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <atomic>
 #include <functional>
@@ -59,6 +61,7 @@
     CPPUNIT_TEST(truncatedBodyIsDetected);
     CPPUNIT_TEST(earlyResponseToALongUploadIsReceived);
     CPPUNIT_TEST(responseResetDuringUploadIsTruncated);
+    CPPUNIT_TEST(malformedHeadIsNoResponse);
     CPPUNIT_TEST_SUITE_END();
 
     upstream_pool m_pool;
@@ -254,6 +257,34 @@
         CPPUNIT_ASSERT_EQUAL(std::string("part"), result.body);
         CPPUNIT_ASSERT(result.isTruncated);
     }
+
+    // Guards against passing on a response whose head is malformed, or a body that begins or ends
+    // at the wrong byte because of it.
+    void malformedHeadIsNoResponse()
+    {
+        const auto failureOf = [this](const std::string &head) {
+            const raw_upstream upstream([&](http_connection &connection) {
+                Poco::Net::HTTPRequest request;
+                if (!connection.readHead(request)
+                    || !connection.readBody(request, [](std::string_view) {}))
+                    return;
+                connection.send(head);
+                connection.closeCleanly();
+            });
+            return runAttempt(upstream.spec(), 30s).failure;
+        };
+        CPPUNIT_ASSERT(!failureOf("HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok"));
+        for (const std::string &code : malformedStatusCodes())
+            CPPUNIT_ASSERT_MESSAGE(
+                printable(code),
+                failureOf(fmt::format("HTTP/1.1 {} X\r\nContent-Length: 2\r\n\r\nok", code))
+                    == failure_point::sent_no_head);
+        for (const std::string &line : malformedFieldLines())
+            CPPUNIT_ASSERT_MESSAGE(
+                printable(line),
+                failureOf(fmt::format("HTTP/1.1 200 X\r\n{}\r\nContent-Length: 2\r\n\r\nok", line))
+                    == failure_point::sent_no_head);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_attempt_test);
--- a/tests/platform/instance_list_test.cc
+++ b/tests/platform/instance_list_test.cc
@@ -1,5 +1,6 @@
 #include "control/control_state.h"
 #include "platform/instance_list.h"
+#include "testing/malformed_heads.h"
 #include "testing/scripted_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -42,6 +43,8 @@
     CPPUNIT_TEST(readsFailureDomainsConcurrently);
     CPPUNIT_TEST(failureInOneDomainFailsTheRead);
     CPPUNIT_TEST(unresponsiveListFailsTheRead);
+    CPPUNIT_TEST(pageEndedByResetFailsTheRead);
+    CPPUNIT_TEST(pageWithMalformedHeadFailsTheRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +81,41 @@
         CPPUNIT_ASSERT_THROW(read({}), control_error);
     }
 
+    // Guards against taking a page without a length for complete that was reset on the way.
+    void pageEndedByResetFailsTheRead()
+    {
+        const std::string page = pageOf("a", "x", "");
+        const std::string unframed = "HTTP/1.1 200 OK\r\n" + page.substr(page.find("\r\n\r\n") + 2);
+        serve({{"/instances", {unframed, true, false}},
+               {"/instances?zone=x", {unframed, false, true}}});
+        read({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_ids.size());
+        CPPUNIT_ASSERT_THROW(read({"x"}), control_error);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_ids.size());
+    }
+
+    // Guards against using a page whose head is malformed.
+    void pageWithMalformedHeadFailsTheRead()
+    {
+        const std::string page = pageOf("a", "x", "");
+        const std::string afterStatus = page.substr(page.find(" OK\r\n"));
+        const std::string fields = page.substr(page.find("\r\n") + 2);
+        std::map<std::string, scripted_answer> answers;
+        std::vector<std::string> domains;
+        const auto add = [&](const std::string &response) {
+            domains.push_back(std::to_string(domains.size()));
+            answers["/instances?zone=" + domains.back()] = {response};
+        };
+        for (const std::string &code : malformedStatusCodes())
+            add("HTTP/1.1 " + code + afterStatus);
+        for (const std::string &line : malformedFieldLines())
+            add("HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields);
+        serve(std::move(answers));
+        for (const std::string &domain : domains)
+            CPPUNIT_ASSERT_THROW_MESSAGE(domain, read({domain}), control_error);
+        CPPUNIT_ASSERT(m_ids.empty());
+    }
+
 private:
     void serve(std::map<std::string, scripted_answer> answers)
     {
