Reject status codes above 599 in responses

RFC 9110, section 15, calls codes outside 100 to 599 invalid and tells a recipient to process them as a 5xx, so a caller must not get one as an answer. The codes below 100 were rejected already.

parseResponseHead() now rejects these codes, too, in all places that use it: the caller gets 502, or the answer of another upstream where the request may be repeated, as with every other malformed head. An own status is not put in place of the upstream's beside its body and seal, since that would be an answer that the upstream did not give.

With "600" and "999" added to malformedStatusCodes(), and before the change of http_head.cc, responseWithMalformedHeadIsNotForwarded (600 in place of 502) and upstream_attempt_test::malformedHeadIsNoResponse failed. They pass now.

--- a/src/base/http_head.cc
+++ b/src/base/http_head.cc
@@ -203,6 +203,8 @@
 {
     constexpr std::size_t versionLength = 8;
     constexpr std::size_t statusEnd = 12;
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599; // others are invalid (RFC 9110, section 15)
     constexpr int noContent = 204;
     constexpr int notModified = 304;
     http_head head;
@@ -213,8 +215,8 @@
     head.isHttp11 = parseVersion(line.substr(0, versionLength));
     const char *digits = line.data() + versionLength + 1;
     const auto [rest, failure] = std::from_chars(digits, line.data() + statusEnd, head.status);
-    if (failure != std::errc() || rest != line.data() + statusEnd || head.status < 100
-        || (line.size() > statusEnd && line[statusEnd] != ' '))
+    if (failure != std::errc() || rest != line.data() + statusEnd || head.status < firstStatus
+        || head.status > lastStatus || (line.size() > statusEnd && line[statusEnd] != ' '))
         reject("malformed status line");
     head.reason = trim(line.substr(statusEnd));
     parseFields(text.substr(end + lineEnd.size()), head);
--- a/src/base/http_head.h
+++ b/src/base/http_head.h
@@ -66,7 +66,8 @@
 
 // Parse the head that findHeadEnd() delimits. Both throw http_error if it is malformed.
 http_head parseRequestHead(std::string_view head);
-// `toHeadRequest` marks the response to a HEAD request, which has no body.
+// `toHeadRequest` marks the response to a HEAD request, which has no body. A status code outside
+// 100 to 599 is malformed.
 http_head parseResponseHead(std::string_view head, bool toHeadRequest);
 
 // Parses one "name: value" line without its CRLF. Throws http_error if it is malformed.
--- a/testing/malformed_heads.cc
+++ b/testing/malformed_heads.cc
@@ -8,7 +8,8 @@
 
 std::vector<std::string> malformedStatusCodes()
 {
-    return {"000", "099", "0200", "20", "2", "", "-20", "+20", "2x0", "0x2", " 200", "200\x01"};
+    return {"000", "099", "600", "999", "0200", "20",   "2",
+            "",    "-20", "+20", "2x0", "0x2",  " 200", "200\x01"};
 }
 
 std::vector<std::string> malformedFieldLines()
