Treat a missing or unreadable reply of a control instance as a failed call

An entry instance used a reply as a view of the control instance although it had not arrived whole: a call that ended with the status OK, but whose message was missing, cut or no valid node_view, was handed on as an empty view, or with the fields that were read before the parser failed. Only a control instance in trouble, or a process of another kind at its address, can send such a reply; a connection that is cut or reset was a failed call before.

Cause: gRPC's callback interface passes on the status alone. Its blocking interface turns a missing message into UNIMPLEMENTED, so the other calls between our processes, which use that one, are not affected.

--- a/src/carrier/control_client.cc
+++ b/src/carrier/control_client.cc
@@ -2,7 +2,9 @@
 
 #include <grpcpp/client_context.h>
 #include <grpcpp/create_channel.h>
+#include <grpcpp/generic/generic_stub.h>
 #include <grpcpp/security/credentials.h>
+#include <grpcpp/support/byte_buffer.h>
 #include <grpcpp/support/channel_arguments.h>
 
 #include <thread>
@@ -20,6 +22,7 @@
 constexpr int firstBackoffMs = 100;
 constexpr int maxBackoffMs = 500;
 constexpr int maxMessageBytes = 4 << 20;
+constexpr const char *syncMethod = "/buckthorngrade.wire.node_link/Sync"; // of proto/link.proto
 
 } // namespace
 
@@ -28,7 +31,6 @@
     std::string host;
     std::uint64_t generation = 0; // replies to calls of an earlier peer are ignored
     std::shared_ptr<grpc::Channel> channel;
-    std::unique_ptr<wire::node_link::Stub> stub;
     bool isBusy = false;
     bool isResponding = false;
     std::uint32_t timeouts = 0; // timed-out calls since the last successful one
@@ -38,7 +40,15 @@
 {
     grpc::ClientContext context;
     wire::node_report report;
-    std::shared_ptr<wire::node_view> view = std::make_shared<wire::node_view>();
+    grpc::ByteBuffer reply;
+    wire::node_view view;
+
+    // Parses the reply and returns the status of the whole call.
+    grpc::Status parseReply(const grpc::Status &status)
+    {
+        return status.ok() ? grpc::SerializationTraits<wire::node_view>::Deserialize(&reply, &view)
+                           : status;
+    }
 };
 
 control_client::control_client(event_loop &loop, std::uint16_t port, event_log &events,
@@ -68,7 +78,6 @@
     arguments.SetMaxReceiveMessageSize(maxMessageBytes);
     to.channel = grpc::CreateCustomChannel(fmt::format("{}:{}", to.host, m_port),
                                            grpc::InsecureChannelCredentials(), arguments);
-    to.stub = wire::node_link::NewStub(to.channel);
     to.timeouts = 0;
 }
 
@@ -135,21 +144,23 @@
     call->report = std::move(report);
     call->context.set_deadline(std::chrono::system_clock::now() + callTimeout);
     ++*m_pendingCalls;
-    to.stub->async()->Sync(&call->context, &call->report, call->view.get(),
-                           [this, call, host = to.host, generation = to.generation,
-                            isAlive = m_isAlive,
-                            pendingCalls = m_pendingCalls](const grpc::Status &status) {
-                               m_loop.post([this, call, host, generation, isAlive, status] {
-                                   if (*isAlive)
-                                       handleReply(host, generation, status, call->view);
-                               });
-                               --*pendingCalls;
-                           });
+    // The generated stub's callback interface reports a call as successful although its reply is
+    // missing or can't be parsed, so the reply is parsed here.
+    grpc::TemplatedGenericStub<wire::node_report, grpc::ByteBuffer> stub(to.channel);
+    stub.UnaryCall(
+        &call->context, syncMethod, grpc::StubOptions(), &call->report, &call->reply,
+        [this, call, host = to.host, generation = to.generation, isAlive = m_isAlive,
+         pendingCalls = m_pendingCalls](const grpc::Status &status) {
+            m_loop.post([this, call, host, generation, isAlive, parsed = call->parseReply(status)] {
+                if (*isAlive)
+                    handleReply(host, generation, parsed, call->view);
+            });
+            --*pendingCalls;
+        });
 }
 
 void control_client::handleReply(const std::string &host, std::uint64_t generation,
-                                 const grpc::Status &status,
-                                 const std::shared_ptr<wire::node_view> &view)
+                                 const grpc::Status &status, const wire::node_view &view)
 {
     const auto found = m_peers.find(host);
     if (found == m_peers.end() || found->second->generation != generation)
@@ -163,7 +174,7 @@
     from.isResponding = succeeded;
     if (succeeded) {
         from.timeouts = 0;
-        m_onView(host, *view);
+        m_onView(host, view);
     } else if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED
                && ++from.timeouts >= timeoutsUntilReconnect) {
         reconnect(from);
--- a/src/carrier/control_client.h
+++ b/src/carrier/control_client.h
@@ -59,7 +59,7 @@
     struct call_state;
     void start(peer &to, wire::node_report report);
     void handleReply(const std::string &host, std::uint64_t generation, const grpc::Status &status,
-                     const std::shared_ptr<wire::node_view> &view);
+                     const wire::node_view &view);
     void connect(peer &to);
     void reconnect(peer &to);
 
