--- a/testing/http_client.cc
+++ b/testing/http_client.cc
@@ -44,7 +44,8 @@
         result.isComplete = true;
     } else if (!response.hasContentLength() && !response.getChunkedTransferEncoding()) {
         connection.readToEnd(append);
-        result.isComplete = true;
+        // A send that failed may have returned the reset that ended the body.
+        result.isComplete = result.failure.empty();
     } else {
         result.isComplete = connection.readBody(response, append);
         if (!result.isComplete)
