--- a/tests/carrier/control_client_test.cc
+++ b/tests/carrier/control_client_test.cc
@@ -168,6 +168,7 @@
             {"part of a message", {.message = message.substr(0, message.size() - 1)}},
             {"message that can't be parsed", {.message = frameMessage(part)}},
             {"status 000", {.status = "000", .message = message}},
+            {"status 999", {.status = "999", .message = message}},
         };
         for (const auto &[what, answer] : broken)
             CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{0}, viewsFrom(answer).size());
