--- a/tests/base/socket_stream_test.cc
+++ b/tests/base/socket_stream_test.cc
@@ -18,6 +18,18 @@
 
 enum class peer_end { close, reset };
 
+void writeUntilFailure(socket_stream &stream, steady_time deadline)
+{
+    try {
+        while (std::chrono::steady_clock::now() < deadline)
+            stream.write("x", deadline);
+    } catch (const socket_error &failure) {
+        CPPUNIT_ASSERT(!failure.isTimeout());
+        return;
+    }
+    CPPUNIT_FAIL("the connection did not fail");
+}
+
 // Returns a connection whose peer has sent `bytes` and then ended it. If `isWriting`, the
 // connection has been written to until that failed, before anything was read from it.
 socket_stream endedConnection(std::string_view bytes, peer_end end, bool isWriting)
@@ -30,12 +42,8 @@
     if (end == peer_end::reset)
         peer.setLinger(true, 0);
     peer.close();
-    try {
-        while (isWriting)
-            stream.write("x", deadline);
-    } catch (const socket_error &failure) {
-        CPPUNIT_ASSERT(!failure.isTimeout());
-    }
+    if (isWriting)
+        writeUntilFailure(stream, deadline);
     return stream;
 }
 
