Two findings of the linter in the new tests

Strings were concatenated in a loop and a vector grew without its capacity (performance-inefficient-string-concatenation, performance-inefficient-vector-operation). Nothing that is checked changes. instance_list_test 6 passed; deadly_request_test is printed as known red, and still fails with 12 ends when asked for by its whole name.

--- a/tests/carrier/deadly_request_test.cc
+++ b/tests/carrier/deadly_request_test.cc
@@ -31,6 +31,7 @@
         constexpr int maxEnds = 3; // of issue 42
         std::array<std::atomic<int>, upstreamCount> ends{};
         std::vector<scripted_server::script> scripts;
+        scripts.reserve(upstreamCount);
         for (std::atomic<int> &ended : ends)
             scripts.emplace_back([&ended](const std::string &request) {
                 if (!request.starts_with("GET /safe/deadly "))
--- a/tests/platform/instance_list_test.cc
+++ b/tests/platform/instance_list_test.cc
@@ -107,9 +107,9 @@
             answers["/instances?zone=" + domains.back()] = {response};
         };
         for (const std::string &code : malformedStatusCodes())
-            add("HTTP/1.1 " + code + afterStatus);
+            add(fmt::format("HTTP/1.1 {}{}", code, afterStatus));
         for (const std::string &line : malformedFieldLines())
-            add("HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields);
+            add(fmt::format("HTTP/1.1 200 OK\r\n{}\r\n{}", line, fields));
         serve(std::move(answers));
         for (const std::string &domain : domains)
             CPPUNIT_ASSERT_THROW_MESSAGE(domain, read({domain}), control_error);
