Publish the size of the request bodies that an entry instance buffers

A 503 with "no room for further bodies" could not be told from a wrong total: nothing showed the total that is compared with the limit. http_server::bufferedBytes() returns it, and the entry instance has it as the gauge buckthorngrade_buffered_body_bytes. No behaviour changes.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -69,6 +69,8 @@
             else
                 exchange->respond(isReady() ? ok : unavailable, {}, "");
         });
+    metrics.gauge("buckthorngrade_buffered_body_bytes", "",
+                  [this] { return static_cast<double>(m_server->bufferedBytes()); });
     reload(m_settings);
     poll();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -116,6 +116,9 @@
     void closeIdle();
     std::size_t openConnections() const { return m_connections.size(); }
     std::size_t openRequests() const { return m_openRequests; }
+    // Returns the size of the bodies of all unanswered requests, which is limited by
+    // `maxBufferedBytes`.
+    std::uint64_t bufferedBytes() const { return m_bufferedBytes; }
 
 private:
     friend class server_connection;
