--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -62,10 +62,25 @@
     }
     if (!m_socket.isOpen())
         return;
+    updateBufferedBytes();
     updateReading();
     armTimer();
 }
 
+// Sets this connection's part of the server's total to the sizes of its bodies. Additions and
+// subtractions wherever a body grows or is dropped have to match on every path, and a decoder may
+// throw after it has appended a part of a body.
+void server_connection::updateBufferedBytes()
+{
+    std::uint64_t bytes = 0;
+    if (m_currentExchange && !m_isDispatched)
+        bytes += m_currentExchange->body().size();
+    for (const pending_exchange &pending : m_pendingExchanges)
+        bytes += pending.exchange->body().size();
+    m_server.m_bufferedBytes += bytes - m_bufferedBytes;
+    m_bufferedBytes = bytes;
+}
+
 void server_connection::updateReading()
 {
     // Unread input stays in the kernel's buffer until earlier requests are answered.
@@ -132,11 +147,10 @@
     const bool isComplete = m_decoder->isComplete();
     if (m_currentExchange->m_isFinished) {
         // The rest of the body is discarded, but must be read because the next request follows it.
-        m_server.m_bufferedBytes -= before;
         body.clear();
         return isComplete;
     }
-    m_server.m_bufferedBytes += body.size() - before;
+    updateBufferedBytes();
     if (m_server.m_bufferedBytes > m_server.m_options.maxBufferedBytes)
         throw http_error(unavailable, "no room for further bodies");
     m_currentExchange->m_isBodyComplete = isComplete;
@@ -166,12 +180,6 @@
     m_bodyBytes = 0;
 }
 
-void server_connection::releaseBody(server_exchange &exchange)
-{
-    m_server.m_bufferedBytes -= exchange.m_body.size();
-    exchange.m_body.clear();
-}
-
 void server_connection::reject(int status, const std::string &reason)
 {
     m_server.m_options.onInvalid(reason);
@@ -180,8 +188,6 @@
     m_currentExchange.reset();
     m_decoder.reset();
     if (!exchange || !m_isDispatched) {
-        if (exchange)
-            releaseBody(*exchange);
         exchange = std::make_shared<server_exchange>(http_head(), m_loop.now());
         exchange->m_connection = this;
         m_pendingExchanges.push_back({exchange, false});
@@ -219,7 +225,7 @@
     while (!m_pendingExchanges.empty() && m_pendingExchanges.front().exchange->m_isFinished) {
         const pending_exchange first = std::move(m_pendingExchanges.front());
         m_pendingExchanges.pop_front();
-        releaseBody(*first.exchange);
+        first.exchange->m_body.clear();
         --m_server.m_openRequests;
         first.exchange->m_connection = nullptr;
         if (first.exchange->m_isAborted) {
@@ -236,9 +242,8 @@
         m_isClosing = m_isClosing || close;
     }
     if (m_isClosing && m_pendingExchanges.empty()) {
-        if (m_currentExchange)
-            releaseBody(*m_currentExchange);
         m_currentExchange.reset();
+        updateBufferedBytes();
         if (!m_socket.hasUnsent())
             startLingeringClose();
         return;
@@ -248,6 +253,7 @@
             if (server->m_connections.contains(self))
                 self->processInput();
         });
+    updateBufferedBytes();
     updateReading();
     armTimer();
 }
@@ -300,16 +306,15 @@
         return;
     m_isRemoved = true;
     m_loop.cancel(m_timer);
-    if (m_currentExchange && !m_isDispatched)
-        releaseBody(*m_currentExchange);
     for (pending_exchange &waiting : m_pendingExchanges) {
-        m_server.m_bufferedBytes -= waiting.exchange->m_body.size();
         --m_server.m_openRequests;
         waiting.exchange->m_connection = nullptr;
         if (!waiting.exchange->m_isFinished && waiting.exchange->onCallerGone)
             waiting.exchange->onCallerGone();
     }
     m_pendingExchanges.clear();
+    m_currentExchange.reset();
+    updateBufferedBytes();
     m_server.remove(this);
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -38,7 +38,7 @@
     bool readBody();
     void dispatch();
     void finishRequest();
-    void releaseBody(server_exchange &exchange);
+    void updateBufferedBytes();
     void reject(int status, const std::string &reason);
     void flushResponses();
     // Resumes or pauses reading from the socket according to the current state.
@@ -56,6 +56,7 @@
     bool m_isDispatched = false; // m_currentExchange was passed to the handler
     std::optional<body_decoder> m_decoder;
     std::uint64_t m_bodyBytes = 0; // body bytes read of m_currentExchange
+    std::uint64_t m_bufferedBytes = 0; // this connection's part of the server's total
     std::deque<pending_exchange> m_pendingExchanges;
     bool m_isClosing = false; // no further requests are read
     bool m_isLingering = false; // all responses are sent; further input is discarded
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -9,8 +9,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fmt/format.h>
+
 #include <atomic>
+#include <cstdint>
 #include <deque>
+#include <string>
+#include <vector>
 
 using namespace buckthorngrade;
 using namespace std::chrono_literals;
@@ -71,6 +76,59 @@
     return body;
 }
 
+// Checks that a caller's request with a body is served.
+void expectBodyIsServed(holding_server &server, const std::string &context)
+{
+    http_connection connection(server.connect());
+    connection.send(request("/sound", "Content-Length: 5\r\n") + "hello");
+    Poco::Net::HTTPResponse head;
+    CPPUNIT_ASSERT_MESSAGE(context, connection.readHead(head));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 200, static_cast<int>(head.getStatus()));
+    std::string body;
+    connection.readBody(head, [&](std::string_view part) { body += part; });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string("/soundhello"), body);
+}
+
+// What a request's body ends with after its first 2,000 bytes.
+struct early_end
+{
+    std::string name;
+    std::string head; // fields that announce the body
+    std::string begin; // framing and the first 2,000 bytes
+    std::string rest; // sent in one write
+    std::uint64_t maxBodyBytes = 20'000; // in force when the rest arrives
+    bool isReset = false; // by the caller, after the rest
+};
+
+std::vector<early_end> earlyEnds()
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string begin = "7d0\r\n" + std::string(2'000, 'x') + "\r\n";
+    const std::string chunk = "1388\r\n" + std::string(5'000, 'y');
+    const std::string lengthBegin(2'000, 'x');
+    const std::string part(5'000, 'y');
+    std::string trailers;
+    while (trailers.size() < 2 * maxHeadBytes)
+        trailers += "Name: " + std::string(1'000, 'v') + "\r\n";
+    return {{"malformed chunk size", chunked, begin, chunk + "\r\nno chunk\r\n"},
+            {"malformed end of a chunk", chunked, begin, chunk + "no end\r\n"},
+            {"chunk line too long", chunked, begin, chunk + "\r\n" + std::string(1'000, '1')},
+            {"trailers too long", chunked, begin, chunk + "\r\n0\r\n" + trailers},
+            {"chunked body too large", chunked, begin, "7530\r\n" + std::string(30'000, 'y')},
+            {"limit lowered below a chunked body", chunked, begin, chunk, 1'000},
+            {"limit lowered below a body", "Content-Length: 9000\r\n", lengthBegin, part, 1'000},
+            {"chunked body cut", chunked, begin, chunk, 20'000, true},
+            {"body cut", "Content-Length: 9000\r\n", lengthBegin, part, 20'000, true}};
+}
+
+// How far a request has got when its body ends early.
+enum class request_progress {
+    not_dispatched,
+    unanswered,
+    answered,
+    answer_queued, // behind the answer to an earlier request
+};
+
 } // namespace
 
 class http_server_test : public CppUnit::TestFixture
@@ -86,6 +144,7 @@
     CPPUNIT_TEST(parsesNextRequestAfterEarlyResponse);
     CPPUNIT_TEST(incompleteOrMalformedBodyEndsItsRequest);
     CPPUNIT_TEST(limitsRateOfStreamedBodies);
+    CPPUNIT_TEST(bodyThatEndsEarlyLeavesRoomForOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +203,7 @@
         Poco::Net::HTTPResponse head;
         CPPUNIT_ASSERT(connection.readHead(head));
         CPPUNIT_ASSERT_EQUAL(413, static_cast<int>(head.getStatus()));
+        expectBodyIsServed(server, "after rejected requests");
     }
 
     // Guards against a graceful stop that closes a connection before all its pending responses.
@@ -260,6 +320,18 @@
         CPPUNIT_ASSERT(connection.readHead(head));
         CPPUNIT_ASSERT_EQUAL(400, static_cast<int>(head.getStatus()));
         CPPUNIT_ASSERT_EQUAL(2, server.disconnects.load());
+        expectBodyIsServed(server, "after a cut and a malformed body");
+    }
+
+    // Guards against a wrong total of buffered bytes, after which every request with a body gets
+    // 503: bytes of a rejected body were subtracted from it without having been added.
+    void bodyThatEndsEarlyLeavesRoomForOthers()
+    {
+        using enum request_progress;
+        for (const early_end &end : earlyEnds())
+            for (const request_progress progress :
+                 {not_dispatched, unanswered, answered, answer_queued})
+                endBodyEarly(end, progress);
     }
 
     // Guards against uploads that saturate a slow link and so delay all other requests.
@@ -286,6 +358,57 @@
         CPPUNIT_ASSERT_EQUAL(std::string("ok"), readBody(connection));
     }
 
+    static void endBodyEarly(const early_end &end, request_progress progress)
+    {
+        using enum request_progress;
+        const std::string context
+            = fmt::format("{}, progress {}", end.name, static_cast<int>(progress));
+        std::atomic<int> rejected = 0;
+        http_server_options options;
+        options.maxBodyBytes = 20'000;
+        options.onInvalid = [&](const std::string &) { ++rejected; };
+        if (progress != not_dispatched)
+            options.streamingThresholdBytes = 1'000;
+        holding_server server(options);
+        const auto bufferedBytes = [&] {
+            std::uint64_t result = 0;
+            server.thread().call([&] { result = server.server().bufferedBytes(); });
+            return result;
+        };
+        {
+            http_connection connection(server.connect());
+            if (progress == answer_queued)
+                connection.send(request("/hold"));
+            const bool isHeld = progress == unanswered;
+            connection.send(request(isHeld ? "/hold" : "/early", end.head) + end.begin);
+            if (progress == answered)
+                readBody(connection);
+            else
+                waitUntil("the begin of the body has arrived: " + context,
+                          [&] { return bufferedBytes() >= 2'000; });
+            server.thread().call([&] {
+                options.maxBodyBytes = end.maxBodyBytes;
+                server.server().setOptions(options);
+            });
+            connection.send(end.rest);
+            if (end.isReset)
+                connection.reset();
+            waitUntil("the body has ended: " + context, [&] {
+                std::size_t connections = 0;
+                server.thread().call([&] { connections = server.server().openConnections(); });
+                return rejected > 0 || connections == 0;
+            });
+        }
+        server.thread().call([&] {
+            options.maxBodyBytes = 20'000;
+            server.server().setOptions(options);
+            for (const exchange_pointer &exchange : server.heldExchanges)
+                exchange->respond(200, {}, "late");
+        });
+        expectBodyIsServed(server, context);
+        waitUntil("no bytes are buffered: " + context, [&] { return bufferedBytes() == 0; });
+    }
+
     void abortClosesConnectionWithoutResponse()
     {
         holding_server server;
