--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -94,7 +94,8 @@
     result.set_ready(m_isReady);
     result.set_period_ms(m_schedule.period().count());
     result.set_leaving(m_isStopping);
-    result.set_routing_version(m_routingVersion);
+    if (m_routingVersion)
+        result.set_routing_version(*m_routingVersion);
     result.set_evacuation_revision(m_evacuations.revision());
     m_listing.describe(m_loop.now(), result);
     for (wire::region_load &load : m_proxy.ownLoads())
@@ -146,7 +147,7 @@
 
 void entry_node::applyRouting(const wire::node_view &view, const std::string &host)
 {
-    if (view.routing_version() <= m_routingVersion)
+    if (!view.has_routing_version() || view.routing_version() <= m_routingVersion)
         return;
     if (view.routing_text().empty()) {
         // All control instances name the new version at about the same time, and one has to send
@@ -171,7 +172,7 @@
         options.maxBodyBytes = limits.maxBodyBytes;
         m_server->setOptions(options);
         m_events.write(event_id::routing_applied,
-                       {{"version", m_routingVersion},
+                       {{"version", view.routing_version()},
                         {"routes", routes->document().routes.size()},
                         {"from", host}});
         m_proxy.setRouting(std::move(routes));
@@ -199,12 +200,12 @@
         return;
     const auto respondedVoters = static_cast<std::size_t>(std::ranges::count_if(
         m_voterHosts, [this](const std::string &host) { return m_respondedHosts.contains(host); }));
-    if (respondedVoters * 2 <= m_voterHosts.size() || m_routingVersion == 0 || m_listing.isEmpty())
+    if (respondedVoters * 2 <= m_voterHosts.size() || !m_routingVersion || m_listing.isEmpty())
         return;
     m_isReady = true;
     m_schedule.setReady();
     m_events.write(event_id::readiness_changed,
-                   {{"ready", true}, {"version", m_routingVersion}, {"control", respondedVoters}});
+                   {{"ready", true}, {"version", *m_routingVersion}, {"control", respondedVoters}});
     sendReports();
 }
 
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -61,8 +61,8 @@
     std::uint64_t m_incarnation;
     poll_schedule m_schedule;
     details_host_selector m_detailsHost;
-    std::uint64_t m_routingVersion = 0;
-    std::uint64_t m_requestedRouting = 0; // version that was requested last
+    std::optional<std::uint64_t> m_routingVersion; // in force; nullopt: none
+    std::optional<std::uint64_t> m_requestedRouting; // version that was requested last
     steady_time m_routingRequestedAt{};
     evacuation_tracker m_evacuations;
     listing_tracker m_listing;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -31,6 +31,9 @@
 // changes, reads of the list of upstreams and the restart of the whole group wait for an election.
 constexpr std::chrono::milliseconds electionTimeout{700};
 
+// Value of the metric buckthorngrade_routing_version if no document has been accepted.
+constexpr double noRoutingVersion = -1;
+
 std::string replicaAddress(const node_settings &settings, replica_id id)
 {
     return fmt::format("{}:{}", ipv4ToString(id), settings.replicaPort());
@@ -114,8 +117,10 @@
         m_link.connect(member.id);
     metrics.gauge("buckthorngrade_is_leader", "",
                   [this] { return m_replica->view().isLeader ? 1.0 : 0.0; });
-    metrics.gauge("buckthorngrade_routing_version", "",
-                  [this] { return static_cast<double>(m_state.routingVersion()); });
+    metrics.gauge("buckthorngrade_routing_version", "", [this] {
+        const auto version = m_state.routingVersion();
+        return version ? static_cast<double>(*version) : noRoutingVersion;
+    });
 }
 
 control_node::~control_node()
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -100,9 +100,11 @@
         result.set_finished(finishRequest(command.finish()));
     else if (command.has_registration())
         result.set_registered(registerInstance(index, command.registration()));
-    else if (command.has_routing())
-        result.set_routing_version(putRouting(std::move(*command.mutable_routing())));
-    else if (command.has_evacuation())
+    else if (command.has_routing()) {
+        putRouting(std::move(*command.mutable_routing()));
+        if (m_routing)
+            result.set_routing_version(m_routing->version());
+    } else if (command.has_evacuation())
         result.set_evacuation_revision(setEvacuation(index, command.evacuation()));
     return result.SerializeAsString();
 }
@@ -529,12 +531,11 @@
     m_requestOrder.erase(order);
 }
 
-std::uint64_t control_state::putRouting(wire::put_routing routing)
+void control_state::putRouting(wire::put_routing routing)
 {
-    if (routing.version() > m_routing.version()
-        && routing.text().size() <= m_limits.maxRoutingBytes)
+    const bool isNewer = !m_routing || routing.version() > m_routing->version();
+    if (isNewer && routing.text().size() <= m_limits.maxRoutingBytes)
         m_routing = std::move(routing);
-    return m_routing.version();
 }
 
 std::uint64_t control_state::setEvacuation(log_index index, const wire::set_evacuation &change)
@@ -552,16 +553,16 @@
     return index;
 }
 
-wire::put_routing control_state::routing() const
+std::optional<wire::put_routing> control_state::routing() const
 {
     const std::lock_guard lock(m_mutex);
     return m_routing;
 }
 
-std::uint64_t control_state::routingVersion() const
+std::optional<std::uint64_t> control_state::routingVersion() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_routing.version();
+    return m_routing ? std::optional(m_routing->version()) : std::nullopt;
 }
 
 control_state::evacuations control_state::evacuated() const
@@ -632,7 +633,8 @@
     for (const auto &[name, record] : m_instances)
         *contents.add_instances() = record;
     contents.set_instances_version(m_instancesVersion);
-    *contents.mutable_routing() = m_routing;
+    if (m_routing)
+        *contents.mutable_routing() = *m_routing;
     for (const std::string &domain : m_evacuations.domains)
         contents.add_evacuated(domain);
     contents.set_evacuation_revision(m_evacuations.revision);
@@ -680,7 +682,10 @@
         m_configBytes += drain.ByteSizeLong();
     }
     m_instancesVersion = contents.instances_version();
-    m_routing = contents.routing();
+    m_routing.reset();
+    // Snapshots of earlier releases have an empty message if there is no document.
+    if (!contents.routing().text().empty())
+        m_routing = contents.routing();
     m_evacuations = {contents.evacuation_revision(),
                      {contents.evacuated().begin(), contents.evacuated().end()}};
     for (const auto &record : contents.instances())
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -102,9 +102,10 @@
     };
     request_counts requestCounts() const;
 
-    // The routing document in force. Its version is 0 if none has been accepted.
-    wire::put_routing routing() const;
-    std::uint64_t routingVersion() const;
+    // The routing document in force and its version; nullopt if none has been accepted. Operators
+    // may number their first document 0.
+    std::optional<wire::put_routing> routing() const;
+    std::optional<std::uint64_t> routingVersion() const;
     struct evacuations
     {
         std::uint64_t revision = 0; // log index of the last change
@@ -132,7 +133,7 @@
     void eraseRequest(std::uint64_t index);
     bool trimHistories(std::size_t bytes);
     bool finishRequest(const wire::finish_request &finish);
-    std::uint64_t putRouting(wire::put_routing routing);
+    void putRouting(wire::put_routing routing);
     std::uint64_t setEvacuation(log_index index, const wire::set_evacuation &change);
     void recordEdit(const wire::edit &edit, std::uint64_t digest,
                     const wire::edit_outcome &outcome);
@@ -153,7 +154,7 @@
     std::deque<std::string> m_editOrder;
     std::map<std::string, wire::instance_record> m_instances;
     std::uint64_t m_instancesVersion = 0;
-    wire::put_routing m_routing;
+    std::optional<wire::put_routing> m_routing;
     evacuations m_evacuations;
     std::map<request_key, wire::request_record> m_requests;
     std::map<std::uint64_t, request_key> m_requestOrder; // by log index of the record
--- a/src/control/node_sync_service.cc
+++ b/src/control/node_sync_service.cc
@@ -1,5 +1,8 @@
 #include "control/node_sync_service.h"
 
+#include <optional>
+#include <utility>
+
 namespace buckthorngrade {
 
 node_sync_service::node_sync_service(const replica &log, const control_state &state,
@@ -26,13 +29,7 @@
     for (const member_status &member : m_log.membership().members)
         if (member.voter)
             view->add_voters(member.id);
-    view->set_routing_version(m_state.routingVersion());
-    if ((report->wants_details() || report->wants_routing())
-        && view->routing_version() > report->routing_version()) {
-        wire::put_routing routing = m_state.routing();
-        view->set_routing_version(routing.version());
-        view->set_routing_text(std::move(*routing.mutable_text()));
-    }
+    addRouting(*report, *view);
     const control_state::evacuations evacuated = m_state.evacuated();
     view->set_evacuation_revision(evacuated.revision);
     if (evacuated.revision != report->evacuation_revision())
@@ -47,6 +44,22 @@
     return grpc::Status::OK;
 }
 
+void node_sync_service::addRouting(const wire::node_report &report, wire::node_view &view) const
+{
+    const std::optional<std::uint64_t> version = m_state.routingVersion();
+    if (!version)
+        return;
+    view.set_routing_version(*version);
+    const bool isNewer = !report.has_routing_version() || *version > report.routing_version();
+    if (!isNewer || !(report.wants_details() || report.wants_routing()))
+        return;
+    // May have been replaced by a newer document in the meantime.
+    if (std::optional<wire::put_routing> routing = m_state.routing()) {
+        view.set_routing_version(routing->version());
+        view.set_routing_text(std::move(*routing->mutable_text()));
+    }
+}
+
 void node_sync_service::addInstances(steady_time now, wire::node_view &view) const
 {
     for (const entry_instance_table::entry &entry : m_entryInstances.live(now)) {
--- a/src/control/node_sync_service.h
+++ b/src/control/node_sync_service.h
@@ -24,6 +24,8 @@
                       wire::node_view *view) override;
 
 private:
+    // Adds the version of the routing document and, if it is asked for and newer there, its text.
+    void addRouting(const wire::node_report &report, wire::node_view &view) const;
     void addInstances(steady_time now, wire::node_view &view) const;
 
     const replica &m_log;
--- a/src/control/routing_service.cc
+++ b/src/control/routing_service.cc
@@ -1,5 +1,7 @@
 #include "control/routing_service.h"
 
+#include <optional>
+
 #include <fmt/format.h>
 
 namespace buckthorngrade {
@@ -69,9 +71,12 @@
     command.mutable_routing()->set_version(version);
     command.mutable_routing()->set_text(std::string(text));
     routing_result result = submit(command, "routing");
-    if (result.outcome == routing_result::status::accepted)
-        m_events.write(event_id::routing_accepted,
-                       {{"version", version}, {"in_force", m_state.routingVersion()}});
+    if (result.outcome == routing_result::status::accepted) {
+        const std::optional<std::uint64_t> inForce = m_state.routingVersion();
+        m_events.write(
+            event_id::routing_accepted,
+            {{"version", version}, {"in_force", inForce ? std::to_string(*inForce) : "none"}});
+    }
     return result;
 }
 
@@ -96,10 +101,10 @@
         return {leadership.outcome, leadership.leader, {}};
     if (!m_log.confirmRead(operationTimeout).get())
         return {};
-    const wire::put_routing routing = m_state.routing();
-    if (routing.version() == 0)
+    const std::optional<wire::put_routing> routing = m_state.routing();
+    if (!routing)
         return {};
-    return {routing_result::status::accepted, 0, routing.text()};
+    return {routing_result::status::accepted, 0, routing->text()};
 }
 
 } // namespace buckthorngrade
--- a/src/model/routing_document.h
+++ b/src/model/routing_document.h
@@ -59,7 +59,7 @@
 // One complete version of the routing configuration.
 struct routing_document
 {
-    std::uint64_t version = 0;
+    std::uint64_t version = 0; // any number; higher ones replace lower ones
     std::vector<route> routes;
     std::vector<routed_service> services;
     request_limits limits;
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -55,11 +55,17 @@
         m_view = view;
     }
     int reports() const { return m_reports; }
-    grpc::Status Sync(grpc::ServerContext *, const wire::node_report *,
+    wire::node_report lastReport()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_lastReport;
+    }
+    grpc::Status Sync(grpc::ServerContext *, const wire::node_report *report,
                       wire::node_view *view) override
     {
         const std::lock_guard lock(m_mutex);
         *view = m_view;
+        m_lastReport = *report;
         ++m_reports;
         return grpc::Status::OK;
     }
@@ -67,6 +73,7 @@
 private:
     std::mutex m_mutex;
     wire::node_view m_view;
+    wire::node_report m_lastReport;
     std::atomic<int> m_reports = 0;
 };
 
@@ -100,6 +107,7 @@
     CPPUNIT_TEST_SUITE(entry_node_test);
     CPPUNIT_TEST(stoppingInstanceAnswersEveryRequestThatItReads);
     CPPUNIT_TEST(votersOfInstanceWithoutLeaderAreIgnored);
+    CPPUNIT_TEST(routingVersionZeroComesIntoForce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +158,54 @@
         replacedServer->Shutdown();
     }
 
+    // Guards against an entry instance that never gets ready because it takes version 0 of the
+    // routing document for none.
+    void routingVersionZeroComesIntoForce()
+    {
+        const free_port port;
+        changing_view_service control;
+        wire::node_view view;
+        view.set_replica(loopback);
+        view.add_voters(loopback);
+        view.set_has_leader(true);
+        view.set_listing_digest(1);
+        encodeUpstream({"u0", "s", "127.0.0.1:1", "d", 1, false, 0ms, 1}, *view.add_upstreams());
+        control.setView(view);
+        const auto server = serveViews(control, port.address());
+        const free_port entryPort;
+        const free_port readyPort;
+        node_settings settings = nodeSettings();
+        settings.entryAddress = entryPort.address();
+        settings.readyAddress = readyPort.address();
+        settings.firstInternalPort = port.number();
+        settings.seedHosts = {"127.0.0.1"};
+        const fixed_codec codec;
+        null_event_log events;
+        metric_registry metrics;
+        loop_thread thread;
+        auto node = std::make_unique<entry_node>(thread.loop(), settings, headerNames, codec,
+                                                 events, metrics);
+        thread.start();
+        waitUntil("reports without a document", [&] { return control.reports() > 2; });
+        CPPUNIT_ASSERT(!control.lastReport().has_routing_version());
+        CPPUNIT_ASSERT(!control.lastReport().ready());
+        view.set_routing_version(0);
+        view.set_routing_text("first");
+        control.setView(view);
+        waitUntil("version 0 is in force", [&] {
+            const wire::node_report report = control.lastReport();
+            return report.ready() && report.has_routing_version() && report.routing_version() == 0;
+        });
+        view.set_routing_version(3);
+        view.set_routing_text("second");
+        control.setView(view);
+        waitUntil("version 3 is in force",
+                  [&] { return control.lastReport().routing_version() == 3; });
+        thread.stop();
+        node.reset();
+        server->Shutdown();
+    }
+
     // Guards against a planned stop that takes requests late in its grace period, forwards them,
     // and closes their connections without a response when the period ends.
     void stoppingInstanceAnswersEveryRequestThatItReads()
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -158,6 +158,7 @@
     CPPUNIT_TEST(replacedInstancesDoNotStopTheGroup);
     CPPUNIT_TEST(joinsThroughSeedsThatDoNotLead);
     CPPUNIT_TEST(routingChangesReportTheirOutcome);
+    CPPUNIT_TEST(firstRoutingVersionMayBeZero);
     CPPUNIT_TEST(allInstancesSendTheSameVersionsOfTheList);
     CPPUNIT_TEST(partsThatAreNotWantedAreOmitted);
     CPPUNIT_TEST_SUITE_END();
@@ -271,6 +272,38 @@
         CPPUNIT_ASSERT(all.node(1).state().evacuated().revision > revision);
     }
 
+    // Guards against a first document with version 0 that is acknowledged and dropped, because 0
+    // stood for "no document".
+    void firstRoutingVersionMayBeZero()
+    {
+        using status = routing_result::status;
+        control_group all({1});
+        all.start(1, true);
+        waitUntil("it leads", [&] { return all.leaders() == 1; });
+        wire::node_report report;
+        report.set_instance("entry-1");
+        report.set_omits_listing(true);
+        report.set_wants_routing(true);
+        CPPUNIT_ASSERT(all.node(1).routing().read().outcome == status::unavailable);
+        all.put("0");
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), all.read());
+        all.put("0 other"); // acknowledged, and changes nothing
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), all.read());
+        const wire::node_view view = all.sync(1, report);
+        CPPUNIT_ASSERT(view.has_routing_version());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, view.routing_version());
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), view.routing_text());
+        report.set_routing_version(0);
+        CPPUNIT_ASSERT_EQUAL(std::string(), all.sync(1, report).routing_text());
+
+        all.stop(1);
+        all.start(1, false);
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), all.read());
+        all.put("7");
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), all.read());
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), all.sync(1, report).routing_text());
+    }
+
     // Guards against complete lists for entry instances that turn to another control instance, also
     // after the leader was lost.
     void allInstancesSendTheSameVersionsOfTheList()
@@ -311,9 +344,10 @@
     {
         control_group all({1});
         all.start(1, true);
-        all.put("7");
         wire::node_report report;
         report.set_instance("entry-1");
+        CPPUNIT_ASSERT(!all.sync(1, report).has_routing_version());
+        all.put("7");
         waitUntil("the list is there", [&] { return all.sync(1, report).upstreams_size() == 100; });
         report.set_omits_listing(true);
         CPPUNIT_ASSERT_EQUAL(0, all.sync(1, report).upstreams_size());
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -247,6 +247,7 @@
     CPPUNIT_TEST(boundsBytes);
     CPPUNIT_TEST(positionsAreHeldAfterRemoval);
     CPPUNIT_TEST(restoreRejectsGarbage);
+    CPPUNIT_TEST(snapshotTellsVersionZeroFromNoDocument);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -391,6 +392,32 @@
         control_state state;
         CPPUNIT_ASSERT_THROW(state.restore(1, "\xff\xff\xff"), agreement_error);
     }
+
+    // Guards against a document with version 0 that is lost when a snapshot is restored, and
+    // against an empty document in place of none, as in snapshots of earlier releases.
+    void snapshotTellsVersionZeroFromNoDocument()
+    {
+        wire::control_snapshot earlier;
+        earlier.mutable_routing();
+        control_state state;
+        for (const std::string &bytes : {state.snapshot(), earlier.SerializeAsString()}) {
+            state.restore(1, bytes);
+            CPPUNIT_ASSERT(!state.routingVersion());
+            CPPUNIT_ASSERT(!state.routing());
+        }
+        wire::command command;
+        command.mutable_routing()->set_version(0);
+        command.mutable_routing()->set_text("first");
+        const wire::apply_result result = applyCommand(state, 2, command);
+        CPPUNIT_ASSERT(result.has_routing_version());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, result.routing_version());
+        control_state restored;
+        restored.restore(2, state.snapshot());
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), restored.routing().value().text());
+        command.mutable_routing()->set_text("second");
+        applyCommand(restored, 3, command);
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), restored.routing().value().text());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(control_state_test);
