Notice a missed evacuation also if there was none before it

What callers could see: an entry instance that heard of no control instance for more than 2 s, while the first evacuation of the deployment began and ended, sent the load of warm upstreams to the ones that the evacuation had left cold.

The first view needs no such mark, as a gap counts from the last view only.

Evidence: firstEvacuationMayBeMissedBetweenDistantViews failed on the old code (mayHaveMissed is false after a gap of 5 s) and passes now, as do the other six tests of cold_upstream_test.

--- a/src/carrier/evacuation_tracker.cc
+++ b/src/carrier/evacuation_tracker.cc
@@ -11,9 +11,8 @@
         m_leaderViewAt = now;
     if (view.evacuation_revision() <= m_revision)
         return std::nullopt;
-    const bool isFirst = m_revision == 0;
     m_revision = view.evacuation_revision();
-    return change{{view.evacuated().begin(), view.evacuated().end()}, isAfterGap && !isFirst};
+    return change{{view.evacuated().begin(), view.evacuated().end()}, isAfterGap};
 }
 
 } // namespace buckthorngrade
--- a/tests/carrier/cold_upstream_test.cc
+++ b/tests/carrier/cold_upstream_test.cc
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(relistedUpstreamKeepsItsRequestCount);
     CPPUNIT_TEST(missedEvacuationMakesUpstreamsCold);
     CPPUNIT_TEST(evacuationsMayBeMissedBetweenDistantViews);
+    CPPUNIT_TEST(firstEvacuationMayBeMissedBetweenDistantViews);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +229,23 @@
         view.set_evacuation_revision(6);
         CPPUNIT_ASSERT(!follower.apply(view, start + 12s));
     }
+
+    // Guards against a missed evacuation that is ignored because there had been none before:
+    // revision 0, which means that there was none, stood for "no view yet" as well.
+    void firstEvacuationMayBeMissedBetweenDistantViews()
+    {
+        const boot_time start = boot_clock::now();
+        evacuation_tracker follower;
+        wire::node_view view;
+        view.set_has_leader(true);
+        CPPUNIT_ASSERT(!follower.apply(view, start));
+        // An evacuation began and ended while no view arrived.
+        view.set_evacuation_revision(9);
+        CPPUNIT_ASSERT(follower.apply(view, start + 5s)->mayHaveMissed);
+
+        evacuation_tracker newcomer;
+        CPPUNIT_ASSERT(!newcomer.apply(view, start)->mayHaveMissed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cold_upstream_test);
