--- a/tests/base/http_listener_test.cc
+++ b/tests/base/http_listener_test.cc
@@ -91,6 +91,10 @@
         CPPUNIT_ASSERT_MESSAGE(bytes + " -> " + answer, answer.starts_with("HTTP/1.1 " + status));
         CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::string::npos, answer.find("HTTP/1.1", 1));
         CPPUNIT_ASSERT_MESSAGE(bytes, answer.find("Connection: close") != std::string::npos);
+        const std::string sound
+            = sendRaw(listener.address(),
+                      m_requestStart + "Connection: close\r\nContent-Length: 5\r\n\r\nhello");
+        CPPUNIT_ASSERT_MESSAGE(bytes + " then " + sound, sound.starts_with("HTTP/1.1 200"));
     }
 
 public:
--- a/tests/integration/entry_request_test.cc
+++ b/tests/integration/entry_request_test.cc
@@ -316,6 +316,9 @@
             CPPUNIT_ASSERT_EQUAL(400, static_cast<int>(response.getStatus()));
         }
         CPPUNIT_ASSERT(system.records().empty());
+        const http_response sound
+            = requestNearby(system, "entry-1", "claim", makeRequest("plain", "sound"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.body + sound.failure, 200, sound.status);
     }
 
     void decisionsCanBeExplained()
