Correct what a cold rate of 0 means

The comment said that it is unlimited. reverse_proxy::coldLimit() returns 0 then, and a cold upstream gets no requests. Found while looking for places where 0 stands for no value; no behaviour changes.

--- a/src/model/routing_document.h
+++ b/src/model/routing_document.h
@@ -45,7 +45,9 @@
     std::string healthPath;
     std::uint32_t maxConnections = 0; // per upstream, for all callers together; 0: unknown
     std::chrono::milliseconds coldPeriod{0}; // an upstream is cold for this time after its start
-    double coldRate = 0; // requests per second that a cold upstream can handle; 0: unlimited
+    // Requests per second that a cold upstream can handle; 0: unknown, and it gets none while it is
+    // cold.
+    double coldRate = 0;
 };
 
 struct request_limits
