--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,6 @@
-"""LOST: SIGTERM while clients still read their answers; the process ends and the rest is never sent."""
+"""LOST: a client reads its answers for longer than idle_timeout; its connection is closed in the middle of them."""
 import asyncio
 import os
-import signal
 import socket
 import sys
 import time
@@ -10,14 +9,14 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import deployment_3 as d  # noqa: E402
 
-CLIENTS = 3
+CLIENTS = 6
 REQUESTS = 200  # of one client, sent on one connection before the first has been answered
 ANSWER_BYTES = 9_000  # the largest answer of a batch-lookup
-READ_BYTES_PER_S = 340_000  # of one client: 2.7 Mbit/s, so that its answers take 5.3 s
+READ_BYTES_PER_S = 180_000 if d.TROUBLE else 5_000_000  # of one client: 1.4 Mbit/s; its answers take 10 s
 WINDOW_BYTES = 8_192
 SEGMENT_BYTES = 1_448  # as on Ethernet; loopback's 64 KB make the kernel's buffers larger than on a network
 DEADLINE_MS = 12_000
-GRACE_S = 6.0
+IDLE_TIMEOUT = "5000ms"
 
 
 async def read_paced(reader, size, budget):
@@ -69,7 +68,8 @@
 
 async def play(record):
     routes = [["r-lookup", d.HOST, "/status/", "safe", "12000ms", "5000ms", 2, "batchcheck", 2, False, [], None]]
-    deployment = d.Deployment(record, [("batchcheck", zone) for zone in d.ZONES], entries=2, routes=routes)
+    deployment = d.Deployment(record, [("batchcheck", zone) for zone in d.ZONES], entries=2, routes=routes,
+                              limits={"idle_timeout": IDLE_TIMEOUT})
     for backend in deployment.backends:
         backend.slots, backend.work = 80, 0.02
         backend.answer_bytes = lambda target: ANSWER_BYTES
@@ -78,24 +78,11 @@
         entry = deployment.entries[0]
         lost, served = [], []
         clients = [asyncio.create_task(client(deployment, entry, n, lost, served)) for n in range(CLIENTS)]
-        await asyncio.sleep(0.3)
-        ended = None
-        if d.TROUBLE:
-            entry.send(signal.SIGTERM)
-            record("SIGTERM to", entry.name)
-            begin = time.monotonic()
-            while entry.child.poll() is None and time.monotonic() < begin + GRACE_S:
-                await asyncio.sleep(0.02)
-            ended = time.monotonic() - begin
-            record("the process", "ended %.2f s after SIGTERM" % ended if entry.child.poll() is not None
-                   else "still runs at the end of grace")
-            if entry.child.poll() is None:
-                entry.send(signal.SIGKILL)
         await asyncio.gather(*clients)
-        print("served", len(served), "lost", len(lost), "process ended after", ended)
+        print("served", len(served), "lost", len(lost))
         if not lost and len(served) < CLIENTS * REQUESTS:
             raise d.CannotRun("not all requests were served")
-        return not lost
+        return len(lost) <= 3
     finally:
         deployment.close()
 
