--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,88 +1,62 @@
-"""LOST: a client reads its answers for longer than idle_timeout; its connection is closed in the middle of them."""
+"""CONFIG: two routes whose hosts differ in the case of a letter; the configuration is acknowledged, and requests of one
+route run at the service of the other."""
 import asyncio
+import json
 import os
-import socket
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 import deployment_3 as d  # noqa: E402
 
-CLIENTS = 6
-REQUESTS = 200  # of one client, sent on one connection before the first has been answered
-ANSWER_BYTES = 9_000  # the largest answer of a batch-lookup
-READ_BYTES_PER_S = 180_000 if d.TROUBLE else 5_000_000  # of one client: 1.4 Mbit/s; its answers take 10 s
-WINDOW_BYTES = 8_192
-SEGMENT_BYTES = 1_448  # as on Ethernet; loopback's 64 KB make the kernel's buffers larger than on a network
-DEADLINE_MS = 12_000
-IDLE_TIMEOUT = "5000ms"
+PREFIX = "/claims/"
+OTHER_HOST = "Ficu95.example" if d.TROUBLE else "other95.example"
 
 
-async def read_paced(reader, size, budget):
-    """Reads `size` bytes at READ_BYTES_PER_S; `budget` is [time from which the next byte may be read]."""
-    parts = []
-    while size > 0:
-        part = await reader.read(min(size, 4_096))
-        if not part:
-            raise asyncio.IncompleteReadError(b"".join(parts), size)
-        parts.append(part)
-        size -= len(part)
-        budget[0] = max(budget[0], time.monotonic()) + len(part) / READ_BYTES_PER_S
-        await asyncio.sleep(max(0.0, budget[0] - time.monotonic()))
-    return b"".join(parts)
+def route(name, host, service):
+    return [name, host, PREFIX, "unsafe", "3000ms", "600ms", 1, service, 2, False, [], None]
 
 
-async def client(deployment, entry, number, lost, served):
-    record = deployment.record
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    connection.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(connection, (entry.host, deployment.port))
-    reader, writer = await asyncio.open_connection(sock=connection, limit=4_096)
-    ids = [d.new_id() for _ in range(REQUESTS)]
-    for request_id in ids:
-        record("sent", request_id, "by client", number)
-        writer.write(d.request("GET", "/status/%s" % request_id, request_id, DEADLINE_MS))
-    sent_at, budget, done = time.monotonic(), [time.monotonic()], 0
-    try:
-        for request_id in ids:
-            line, fields = await d.read_head(reader)
-            body = await read_paced(reader, int(fields["content-length"]), budget)
-            status = int(line.split(" ")[1])
-            record("answered", request_id, status, len(body), "bytes after %.2f s" % (time.monotonic() - sent_at))
-            done += 1
-            if status == 200:
-                served.append(request_id)
-    except (asyncio.IncompleteReadError, ConnectionError) as failure:
-        after = time.monotonic() - sent_at
-        for request_id in ids[done:]:
-            ran = any(run[0] == request_id for b in deployment.backends for run in b.runs)
-            record("no complete answer to", request_id, "connection ended after %.2f s" % after, repr(failure)[:60],
-                   "ran" if ran else "did not run")
-            if ran and after * 1000 < DEADLINE_MS:
-                lost.append(request_id)
+async def lodge(deployment, entry, host, sent):
+    request_id = d.new_id()
+    sent[request_id] = host
+    deployment.record("sent", request_id, "POST", PREFIX + request_id, "Host:", host)
+    reader, writer = await asyncio.open_connection(entry.host, deployment.port)
+    text = d.request("POST", PREFIX + request_id, request_id, 4000, b"claim").decode()
+    writer.write(text.replace("Host: %s\r\n" % d.HOST, "Host: %s\r\n" % host).encode())
+    line, fields = await asyncio.wait_for(d.read_head(reader), 5)
+    await asyncio.wait_for(d.read_body(reader, fields), 5)
     writer.close()
+    status = int(line.split(" ")[1])
+    deployment.record("answered", request_id, status)
+    return status
 
 
 async def play(record):
-    routes = [["r-lookup", d.HOST, "/status/", "safe", "12000ms", "5000ms", 2, "batchcheck", 2, False, [], None]]
-    deployment = d.Deployment(record, [("batchcheck", zone) for zone in d.ZONES], entries=2, routes=routes,
-                              limits={"idle_timeout": IDLE_TIMEOUT})
-    for backend in deployment.backends:
-        backend.slots, backend.work = 80, 0.02
-        backend.answer_bytes = lambda target: ANSWER_BYTES
+    deployment = d.Deployment(record, [(service, zone) for zone in d.ZONES for service in ("batchcheck", "claimdesk")],
+                              entries=2, routes=[route("r-first", d.HOST, "claimdesk")])
     try:
         await deployment.start()
-        entry = deployment.entries[0]
-        lost, served = [], []
-        clients = [asyncio.create_task(client(deployment, entry, n, lost, served)) for n in range(CLIENTS)]
-        await asyncio.gather(*clients)
-        print("served", len(served), "lost", len(lost))
-        if not lost and len(served) < CLIENTS * REQUESTS:
-            raise d.CannotRun("not all requests were served")
-        return len(lost) <= 3
+        service_of = {backend.id: backend.service for backend in deployment.backends}
+        sent, statuses = {}, []
+        for number in range(20):
+            statuses.append(await lodge(deployment, deployment.entries[number % 2], d.HOST, sent))
+        deployment.routes = [route("r-first", d.HOST, "claimdesk"), route("r-second", OTHER_HOST, "batchcheck")]
+        answer = await deployment.operator("PUT", "/v1/config", json.dumps(deployment.config(8)).encode())
+        record("the configuration with routes for", d.HOST, "and", OTHER_HOST, "got", answer[0])
+        await asyncio.sleep(4)  # config_apply is 2.5 s
+        allowed = {d.HOST: "claimdesk", OTHER_HOST: "batchcheck"}
+        for number in range(100):
+            host = d.HOST if number % 2 == 0 or answer[0] != 200 else OTHER_HOST
+            statuses.append(await lodge(deployment, deployment.entries[number // 2 % 2], host, sent))
+        wrong = [run[0] for backend in deployment.backends for run in backend.runs
+                 if service_of[backend.id] != allowed[sent[run[0]]]]
+        record("acknowledged with", answer[0], "- claims that ran at the service of the other route:", len(wrong))
+        print("the configuration got", answer[0], "answers", {s: statuses.count(s) for s in set(statuses)},
+              "claims at the other route's service", len(wrong))
+        if statuses[:20].count(200) < 15:
+            raise d.CannotRun("too few claims were served under the first configuration")
+        return answer[0] in range(400, 500) or not wrong
     finally:
         deployment.close()
 
