--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -39,10 +39,10 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run, with the time since the start."""
+    """What was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.start = time.monotonic()
 
     def __call__(self, *words):
@@ -340,9 +340,9 @@
     return "%016x" % random.getrandbits(64)
 
 
-def main(folder, play):
-    """Runs the coroutine play(record), which returns whether the rule held."""
-    record = Record(folder)
+def main(path, play):
+    """Runs the coroutine play(record), which returns whether the rule held, with a record at `path`."""
+    record = Record(path)
     try:
         held = asyncio.run(asyncio.wait_for(play(record), 110))
     except (CannotRun, asyncio.TimeoutError, OSError) as failure:
