--- a/src/carrier/route_table.cc
+++ b/src/carrier/route_table.cc
@@ -6,31 +6,18 @@
 
 namespace buckthorngrade {
 
-namespace {
-
-std::string normalizedHost(std::string_view host)
-{
-    std::string result(host.substr(0, host.find(':')));
-    std::ranges::transform(result, result.begin(), [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    });
-    return result;
-}
-
-} // namespace
-
 route_table::route_table(routing_document document)
     : m_document(std::move(document))
 {
     for (const route &route : m_document.routes)
-        m_byHost[normalizedHost(route.host)][route.pathPrefix] = &route;
+        m_byHost[hostKey(route.host)][route.pathPrefix] = &route;
     for (const routed_service &service : m_document.services)
         m_services[service.name] = &service;
 }
 
 const route *route_table::find(std::string_view host, std::string_view target) const
 {
-    const auto routes = m_byHost.find(normalizedHost(host));
+    const auto routes = m_byHost.find(hostKey(host));
     if (routes == m_byHost.end())
         return nullptr;
     std::string_view path = target.substr(0, target.find_first_of("?#"));
--- a/src/carrier/route_table.h
+++ b/src/carrier/route_table.h
@@ -20,8 +20,8 @@
 public:
     explicit route_table(routing_document document);
 
-    // Returns null if no route matches. `target` may have a query or a fragment. The port and the
-    // letter case of `host` are ignored.
+    // Returns null if no route matches. `target` may have a query or a fragment. Hosts are compared
+    // by hostKey().
     const route *find(std::string_view host, std::string_view target) const;
     // Returns null if the document doesn't have the service.
     const routed_service *findService(std::string_view name) const;
--- a/src/model/routing_document.cc
+++ b/src/model/routing_document.cc
@@ -36,6 +36,22 @@
 
 } // namespace
 
+std::string hostKey(std::string_view host)
+{
+    // The colons of an IPv6 address belong to it. They are in brackets, as they have to be, or the
+    // host has several colons.
+    const std::size_t bracket = host.starts_with('[') ? host.find(']') : std::string_view::npos;
+    if (bracket != std::string_view::npos)
+        host = host.substr(0, bracket + 1);
+    else if (std::ranges::count(host, ':') == 1)
+        host = host.substr(0, host.find(':'));
+    std::string result(host);
+    std::ranges::transform(result, result.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return result;
+}
+
 void checkRouting(const routing_document &document)
 {
     std::set<std::string> services;
@@ -45,7 +61,7 @@
     std::set<std::pair<std::string, std::string>> hostPrefixes;
     for (const route &route : document.routes) {
         checkRoute(route, services);
-        if (!hostPrefixes.emplace(route.host, route.pathPrefix).second)
+        if (!hostPrefixes.emplace(hostKey(route.host), route.pathPrefix).second)
             throw settings_error(
                 fmt::format("route '{}': another route has the same host and prefix", route.name));
     }
--- a/src/model/routing_document.h
+++ b/src/model/routing_document.h
@@ -69,6 +69,12 @@
 
 constexpr std::chrono::minutes maxRouteTimeout{10};
 
+// Returns the form of a route's host, or of the value of a Host field, in which hosts are compared:
+// in lower case and without the port. Hosts are the same if and only if their keys are equal. The
+// check of a document and the lookup of a request must both use it: if the check tells two routes
+// apart and the lookup doesn't, one of them gets the requests of the other.
+std::string hostKey(std::string_view host);
+
 // Throws settings_error naming the first fault: an unknown service, two routes with the same host
 // and prefix, weights below 0 or that add up to 0, a timeout over maxRouteTimeout, a prefix that
 // does not begin and end with a slash.
