Keep the state of a split by the route and not by its name

What callers saw: nothing was reported. Of two routes with the same name, each split among services, each sent all of its requests to one service when requests for them alternate (100 of 100 in place of 50).

Cause: service_splitter kept its state by the name of the route. Names need not be unique; host and path prefix identify a route.

Change: routeKey() makes the identity from hostKey() and the prefix. checkRouting(), the splitter and the affinity of objects use it.

Evidence: routesOfOneNameHaveSplitsOfTheirOwn fails with the state kept by name ("100 of 50") and passes now.

--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -190,7 +190,7 @@
         m_responseDeadline = std::min(m_responseDeadline, m_exchange->arrival + m_route->timeout);
     m_affinityObject = cookieValue(head, m_proxy.m_headerNames.affinityCookie);
     if (m_affinityObject)
-        m_affinityHash = combineHashes(hashOf(m_route->name), hashOf(*m_affinityObject));
+        m_affinityHash = combineHashes(hashOf(routeKey(*m_route)), hashOf(*m_affinityObject));
     m_service = m_proxy.m_splitter.choose(*m_route);
     m_proxy.stateOf(m_service).budget.recordRequest(m_proxy.m_loop.now());
     if (timeLeft().count() <= 0) {
--- a/src/carrier/route_table.cc
+++ b/src/carrier/route_table.cc
@@ -43,7 +43,7 @@
     const auto isSame = [](const weighted_service &a, const weighted_service &b) {
         return a.service == b.service && a.weight == b.weight;
     };
-    split_state &state = m_states[route.name];
+    split_state &state = m_states[routeKey(route)];
     if (!std::ranges::equal(state.services, route.services, isSame)) {
         state.services = route.services;
         state.credit.assign(route.services.size(), 0);
--- a/src/carrier/route_table.h
+++ b/src/carrier/route_table.h
@@ -38,7 +38,7 @@
 class service_splitter
 {
 public:
-    // Keeps its state by the name of the route, and resets it when the route's weights change.
+    // Keeps its state by routeKey(), and resets it when the route's weights change.
     const std::string &choose(const route &route);
 
 private:
--- a/src/model/routing_document.cc
+++ b/src/model/routing_document.cc
@@ -52,16 +52,22 @@
     return result;
 }
 
+std::string routeKey(const route &route)
+{
+    // No host has a slash, so the key shows where the prefix begins.
+    return hostKey(route.host) + route.pathPrefix;
+}
+
 void checkRouting(const routing_document &document)
 {
     std::set<std::string> services;
     for (const routed_service &service : document.services)
         if (!services.insert(service.name).second)
             throw settings_error(fmt::format("the service '{}' is given twice", service.name));
-    std::set<std::pair<std::string, std::string>> hostPrefixes;
+    std::set<std::string> keys;
     for (const route &route : document.routes) {
         checkRoute(route, services);
-        if (!hostPrefixes.emplace(hostKey(route.host), route.pathPrefix).second)
+        if (!keys.insert(routeKey(route)).second)
             throw settings_error(
                 fmt::format("route '{}': another route has the same host and prefix", route.name));
     }
--- a/src/model/routing_document.h
+++ b/src/model/routing_document.h
@@ -75,6 +75,9 @@
 // apart and the lookup doesn't, one of them gets the requests of the other.
 std::string hostKey(std::string_view host);
 
+// Identifies a route within a document. Names of routes are for people and need not be unique.
+std::string routeKey(const route &route);
+
 // Throws settings_error naming the first fault: an unknown service, two routes with the same host
 // and prefix, weights below 0 or that add up to 0, a timeout over maxRouteTimeout, a prefix that
 // does not begin and end with a slash.
--- a/tests/carrier/route_table_test.cc
+++ b/tests/carrier/route_table_test.cc
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(acceptedRoutesGetTheirRequests);
     CPPUNIT_TEST(sameHostsAreRejectedAndOthersToldApart);
     CPPUNIT_TEST(splitKeepsItsWeights);
+    CPPUNIT_TEST(routesOfOneNameHaveSplitsOfTheirOwn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,9 +153,12 @@
     void sameHostsAreRejectedAndOthersToldApart()
     {
         const std::vector<std::pair<std::string, std::string>> same
-            = {{"a.example", "A.Example"},          {"a.example", "a.example:8080"},
-               {"a.example:1", "a.example:2"},      {"a.example", "a.example:"},
-               {"[2001:db8::1]", "[2001:DB8::1]"},  {"[2001:db8::1]", "[2001:db8::1]:80"},
+            = {{"a.example", "A.Example"},
+               {"a.example", "a.example:8080"},
+               {"a.example:1", "a.example:2"},
+               {"a.example", "a.example:"},
+               {"[2001:db8::1]", "[2001:DB8::1]"},
+               {"[2001:db8::1]", "[2001:db8::1]:80"},
                {"[2001:db8::1]:1", "[2001:db8::1]:2"}};
         for (const auto &[first, second] : same) {
             const std::string what = first + " and " + second;
@@ -197,6 +201,31 @@
         }
         CPPUNIT_ASSERT_EQUAL(0, counts["d"]);
     }
+
+    // Guards against routes with the same name that share the state of their splits: with requests
+    // that alternate, each route would send all of its requests to one service.
+    void routesOfOneNameHaveSplitsOfTheirOwn()
+    {
+        service_splitter splitter;
+        std::vector<route> routes{routeAt("a.example", "/p/"), routeAt("a.example", "/q/"),
+                                  routeAt("b.example", "/p/"), routeAt("A.example:80", "/r/")};
+        for (route &each : routes)
+            each.name = "r";
+        for (std::size_t i = 0; i < routes.size(); ++i)
+            routes[i].services = {{"x", 50}, {"y", i < 2 ? 50.0 : 30.0}};
+        std::map<std::string, int> counts;
+        constexpr int rounds = 100;
+        for (int round = 0; round < rounds; ++round)
+            for (const route &each : routes)
+                ++counts[each.host + each.pathPrefix + splitter.choose(each)];
+        for (const route &each : routes) {
+            const double wanted = rounds * 50 / (50 + each.services.back().weight);
+            const int actual = counts[each.host + each.pathPrefix + "x"];
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format("{}{}: {} of {}", each.host, each.pathPrefix, actual, wanted),
+                std::abs(actual - wanted) <= 1);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(route_table_test);
