Keep documents in force that a new check would reject

A check that is added makes documents invalid that earlier releases acknowledged, such as two routes whose hosts differ in a capital letter. It is kept there as text and entry instances decode it without the check, so it stays in force through an update. But the same order sent again was refused with 400, though an order that was accepted must never be refused, and nothing told an operator that the document in force is invalid.

Change: putRouting() acknowledges the text that is in force before it checks anything. Entry instances log routing_invalid with the fault.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -165,6 +165,7 @@
     try {
         auto routes = std::make_shared<const route_table>(m_codec.decode(view.routing_text()));
         m_routingVersion = view.routing_version();
+        reportInvalidRouting(routes->document());
         const request_limits &limits = routes->document().limits;
         http_server_options options = m_server->options();
         options.headTimeout = limits.headerTimeout;
@@ -182,6 +183,18 @@
     }
 }
 
+// Control instances accept valid documents only, but the check may have been less strict when the
+// document was accepted. Without it, no request would be served.
+void entry_node::reportInvalidRouting(const routing_document &document)
+{
+    try {
+        checkRouting(document);
+    } catch (const settings_error &fault) {
+        m_events.write(event_id::routing_invalid,
+                       {{"version", document.version}, {"reason", fault.what()}});
+    }
+}
+
 void entry_node::applyEvacuations(const wire::node_view &view)
 {
     auto change = m_evacuations.apply(view, boot_clock::now());
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -42,6 +42,8 @@
     void poll();
     void applyView(const std::string &host, const wire::node_view &view);
     void applyRouting(const wire::node_view &view, const std::string &host);
+    // Logs a fault of a document that the check of new documents would reject.
+    void reportInvalidRouting(const routing_document &document);
     void applyEvacuations(const wire::node_view &view);
     void updateReadiness();
     // Sends a report to all control instances and asks one of them for the details.
--- a/src/control/routing_service.cc
+++ b/src/control/routing_service.cc
@@ -55,6 +55,10 @@
 
 routing_result routing_service::putRouting(std::string_view text)
 {
+    // A document that an earlier release accepted may fail checks that were added since. It stays
+    // in force, and an operator who sends it again must not get another response than before.
+    if (const auto inForce = m_state.routing(); inForce && inForce->text() == text)
+        return {routing_result::status::accepted, "already in force", 0};
     std::uint64_t version = 0;
     try {
         const routing_document document = m_codec.decode(text);
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -100,6 +100,42 @@
     }
 };
 
+// Decodes a document that an earlier release accepted: two of its routes are for the same host.
+class same_hosts_codec final : public routing_codec
+{
+public:
+    routing_document decode(std::string_view) const override
+    {
+        routing_document document;
+        document.routes = {routeFor("/safe/", request_kind::idempotent),
+                           routeFor("/safe/", request_kind::idempotent)};
+        document.routes.back().host = "TEST";
+        document.services = {{"s", "/health", 100, 3s, 1}};
+        return document;
+    }
+};
+
+class warning_counter final : public event_log
+{
+public:
+    explicit warning_counter(std::string event)
+        : m_event(std::move(event))
+    { }
+    int count() const { return m_count; }
+
+protected:
+    bool isEnabled(log_level) const override { return true; }
+    void writeLine(std::string_view line) override
+    {
+        if (line.find(m_event) != std::string_view::npos)
+            ++m_count;
+    }
+
+private:
+    const std::string m_event;
+    std::atomic<int> m_count = 0;
+};
+
 } // namespace
 
 class entry_node_test : public CppUnit::TestFixture
@@ -108,6 +144,7 @@
     CPPUNIT_TEST(stoppingInstanceAnswersEveryRequestThatItReads);
     CPPUNIT_TEST(votersOfInstanceWithoutLeaderAreIgnored);
     CPPUNIT_TEST(routingVersionZeroComesIntoForce);
+    CPPUNIT_TEST(documentOfEarlierReleaseComesIntoForce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +243,47 @@
         server->Shutdown();
     }
 
+    // Guards against an entry instance that gets no document after an update, because the one in
+    // force fails a check that the earlier release did not have.
+    void documentOfEarlierReleaseComesIntoForce()
+    {
+        const free_port port;
+        changing_view_service control;
+        wire::node_view view;
+        view.set_replica(loopback);
+        view.add_voters(loopback);
+        view.set_has_leader(true);
+        view.set_listing_digest(1);
+        encodeUpstream({"u0", "s", "127.0.0.1:1", "d", 1, false, 0ms, 1}, *view.add_upstreams());
+        view.set_routing_version(3);
+        view.set_routing_text("document");
+        control.setView(view);
+        const auto server = serveViews(control, port.address());
+        const free_port entryPort;
+        const free_port readyPort;
+        node_settings settings = nodeSettings();
+        settings.entryAddress = entryPort.address();
+        settings.readyAddress = readyPort.address();
+        settings.firstInternalPort = port.number();
+        settings.seedHosts = {"127.0.0.1"};
+        const same_hosts_codec codec;
+        CPPUNIT_ASSERT_THROW(checkRouting(codec.decode("document")), settings_error);
+        warning_counter events("routing_invalid");
+        metric_registry metrics;
+        loop_thread thread;
+        auto node = std::make_unique<entry_node>(thread.loop(), settings, headerNames, codec,
+                                                 events, metrics);
+        thread.start();
+        waitUntil("the document is in force", [&] {
+            const wire::node_report report = control.lastReport();
+            return report.ready() && report.routing_version() == 3;
+        });
+        thread.stop();
+        node.reset();
+        server->Shutdown();
+        CPPUNIT_ASSERT_EQUAL(1, events.count());
+    }
+
     // Guards against a planned stop that takes requests late in its grace period, forwards them,
     // and closes their connections without a response when the period ends.
     void stoppingInstanceAnswersEveryRequestThatItReads()
