Refuse documents of which a part would have no effect

What callers saw: documents got 200 and then no request was served: a column named twice, so that another host counts (404 for all), max_body_bytes 1e30 (413 for all on x86-64), idle_timeout 0 or below (nearly all connections closed without an answer), a route without a host.

Cause: the decoder kept the last of two values with one name, and converted numbers to smaller types without a check, which has no defined result and differs between machines. checkRouting() looked at none of the limits.

Evidence: rejectsDocumentsWithPartsThatHaveNoEffect fails without the new checks; it and acceptsUnusualDocuments pass now (test_platform 16).

--- a/src/control/routing_service.cc
+++ b/src/control/routing_service.cc
@@ -61,7 +61,7 @@
         return {routing_result::status::accepted, "already in force", 0};
     std::uint64_t version = 0;
     try {
-        const routing_document document = m_codec.decode(text);
+        const routing_document document = m_codec.decodeNew(text);
         checkRouting(document);
         version = document.version;
     } catch (const settings_error &failure) {
--- a/src/model/routing_document.cc
+++ b/src/model/routing_document.cc
@@ -16,6 +16,10 @@
     const auto reject = [&](const std::string &fault) {
         throw settings_error(fmt::format("route '{}': {}", route.name, fault));
     };
+    if (hostKey(route.host).empty())
+        reject("it names no host");
+    if (route.latencyTarget.count() < 0)
+        reject("the latency target is below 0");
     if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'))
         reject("the path prefix must begin and end with a slash");
     if (route.timeout > maxRouteTimeout || route.timeout.count() < 0)
@@ -34,6 +38,22 @@
         reject("the weights add up to 0");
 }
 
+void checkService(const routed_service &service)
+{
+    if (service.coldPeriod.count() < 0 || !(service.coldRate >= 0))
+        throw settings_error(
+            fmt::format("service '{}': the cold period or rate is below 0", service.name));
+}
+
+// A limit of 0 would end each connection before its first request.
+void checkLimits(const request_limits &limits)
+{
+    if (limits.headerTimeout.count() <= 0 || limits.idleTimeout.count() <= 0)
+        throw settings_error("limits: a timeout is not above 0");
+    if (limits.maxHeaderBytes == 0)
+        throw settings_error("limits: there is no room for a head");
+}
+
 } // namespace
 
 std::string hostKey(std::string_view host)
@@ -61,9 +81,12 @@
 void checkRouting(const routing_document &document)
 {
     std::set<std::string> services;
-    for (const routed_service &service : document.services)
+    for (const routed_service &service : document.services) {
+        checkService(service);
         if (!services.insert(service.name).second)
             throw settings_error(fmt::format("the service '{}' is given twice", service.name));
+    }
+    checkLimits(document.limits);
     std::set<std::string> keys;
     for (const route &route : document.routes) {
         checkRoute(route, services);
--- a/src/model/routing_document.h
+++ b/src/model/routing_document.h
@@ -78,9 +78,10 @@
 // Identifies a route within a document. Names of routes are for people and need not be unique.
 std::string routeKey(const route &route);
 
-// Throws settings_error naming the first fault: an unknown service, two routes with the same host
-// and prefix, weights below 0 or that add up to 0, a timeout over maxRouteTimeout, a prefix that
-// does not begin and end with a slash.
+// Throws settings_error naming the first fault: a missing host, a time below 0, a timeout of 0 for
+// callers' heads or idle connections, no room for a head, an unknown service, two routes with the
+// same host and prefix, weights below 0 or that add up to 0, a timeout over maxRouteTimeout, a
+// prefix that does not begin and end with a slash.
 void checkRouting(const routing_document &document);
 
 // Decodes the text format of routing documents that operators submit. Implementations are
@@ -89,9 +90,15 @@
 {
 public:
     virtual ~routing_codec() = default;
-    // Throws settings_error if any part of the text can't be decoded. The result is not validated;
-    // see checkRouting().
+    // Decodes a document that was accepted, maybe by an earlier release with fewer checks. If a
+    // name is given twice, the last value counts, and numbers that their fields can't hold are
+    // limited to the range. Throws settings_error if another part of the text can't be decoded. The
+    // result is not validated; see checkRouting().
     virtual routing_document decode(std::string_view text) const = 0;
+    // Decodes a document that is to be accepted. Also throws settings_error if a name is given
+    // twice or a number is out of range, because such a part has no effect, or another than it
+    // says.
+    virtual routing_document decodeNew(std::string_view text) const = 0;
 };
 
 } // namespace buckthorngrade
--- a/src/platform/json_values.cc
+++ b/src/platform/json_values.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -23,6 +24,25 @@
 
 } // namespace
 
+nlohmann::json parseJson(std::string_view text, std::set<std::string> &repeatedNames)
+{
+    using nlohmann::json;
+    std::vector<std::set<std::string>> openObjects; // the names read so far
+    const auto recordName = [&](int, json::parse_event_t event, json &parsed) {
+        if (event == json::parse_event_t::object_start)
+            openObjects.emplace_back();
+        else if (event == json::parse_event_t::object_end)
+            openObjects.pop_back();
+        else if (event == json::parse_event_t::key) {
+            const auto &name = parsed.get_ref<const std::string &>();
+            if (!openObjects.back().insert(name).second)
+                repeatedNames.insert(name);
+        }
+        return true;
+    };
+    return json::parse(text, recordName, false);
+}
+
 std::optional<std::chrono::milliseconds> parsePlatformDuration(std::string_view text)
 {
     double value = 0;
--- a/src/platform/json_values.h
+++ b/src/platform/json_values.h
@@ -7,11 +7,16 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
 namespace buckthorngrade {
 
+// Parses JSON text. Returns a discarded value if it is malformed. If an object has a name twice,
+// the last value counts; such names are added to `repeatedNames`.
+nlohmann::json parseJson(std::string_view text, std::set<std::string> &repeatedNames);
+
 // Parses a duration in the platform's messages: a number followed by its unit, such as "1500ms" or
 // "2.5s". Returns nullopt if the text is malformed or out of range.
 std::optional<std::chrono::milliseconds> parsePlatformDuration(std::string_view text);
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -98,6 +98,7 @@
         document.services = {{"s", "/health", 100, 3s, 1}};
         return document;
     }
+    routing_document decodeNew(std::string_view text) const override { return decode(text); }
 };
 
 // Decodes a document that an earlier release accepted: two of its routes are for the same host.
@@ -113,6 +114,7 @@
         document.services = {{"s", "/health", 100, 3s, 1}};
         return document;
     }
+    routing_document decodeNew(std::string_view text) const override { return decode(text); }
 };
 
 class warning_counter final : public event_log
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -34,6 +34,7 @@
             throw settings_error("invalid");
         return result;
     }
+    routing_document decodeNew(std::string_view text) const override { return decode(text); }
 
     std::atomic<bool> acceptsInvalid = false;
 };
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -39,7 +39,7 @@
 
 void checkText(const std::string &text)
 {
-    checkRouting(platform_routing_codec().decode(text));
+    checkRouting(platform_routing_codec().decodeNew(text));
 }
 
 } // namespace
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(readsRouting);
     CPPUNIT_TEST(rejectsInvalidRouting);
     CPPUNIT_TEST(rejectsTruncatedDocuments);
+    CPPUNIT_TEST(rejectsDocumentsWithPartsThatHaveNoEffect);
+    CPPUNIT_TEST(acceptsUnusualDocuments);
     CPPUNIT_TEST(skipsInvalidInstances);
     CPPUNIT_TEST(malformedEntryDoesNotAffectOthers);
     CPPUNIT_TEST(deepEntryUsesLittleMemory);
@@ -113,6 +115,81 @@
             CPPUNIT_ASSERT_THROW(checkText(document.substr(0, size)), settings_error);
     }
 
+    // Guards against acknowledging a document of which a part can't be put into force: a value that
+    // another one of the same name replaces, a number that its field can't hold, whose conversion
+    // has no defined result, or a limit that no request can keep to. Documents that an earlier
+    // release accepted must still be read.
+    void rejectsDocumentsWithPartsThatHaveNoEffect()
+    {
+        const auto with = [](const std::string &from, const std::string &to) {
+            return replaced(document, from, to);
+        };
+        const std::string columns = R"("columns":["name","host",)";
+        for (const std::string &text :
+             {with("{\"version\":7,", "{\"version\":7,\"version\":8,"),
+              with("\"limits\":{", "\"limits\":{\"idle_timeout\":\"1s\","),
+              with("{\"service\":\"s\",\"weight\":90}",
+                   "{\"service\":\"s\",\"weight\":90,\"weight\":10}"),
+              with("{\"version\":7,", "{\"routes\":{\"columns\":[],\"rows\":[]},\"version\":7,"),
+              with("\"kind\"", "\"host\""),
+              with("\"protocol\"", "\"name\""),
+              with("\"max_body_bytes\":1000", "\"max_body_bytes\":1e30"),
+              with("\"max_body_bytes\":1000", "\"max_body_bytes\":-1"),
+              with("\"max_body_bytes\":1000", "\"max_body_bytes\":1.5"),
+              with("\"max_header_bytes\":16384", "\"max_header_bytes\":0"),
+              with("\"max_header_bytes\":16384", "\"max_header_bytes\":-1"),
+              with("\"3000ms\"", "\"0ms\""),
+              with("\"15s\"", "\"0ms\""),
+              with("\"15s\"", "\"-1s\""),
+              with("1,\"s\",2,true", "1e30,\"s\",2,true"),
+              with("1,\"s\",2,true", "-1,\"s\",2,true"),
+              with("1,\"s\",2,true", "1,\"s\",0,true"),
+              with("1,\"s\",2,true", "1,\"s\",-1,true"),
+              with("1,\"s\",2,true", "1,\"s\",1.5,true"),
+              with("1,\"s\",2,true", "1,\"s\",1e30,true"),
+              with("\"0.6s\"", "\"-1ms\""),
+              with("[\"a\",\"h\"", "[\"a\",null"),
+              with("[\"a\",\"h\"", "[\"a\",\"\""),
+              with("[\"a\",\"h\"", "[\"a\",\":80\""),
+              with("\"/health\",360", "\"/health\",-1"),
+              with("\"/health\",360", "\"/health\",1e30"),
+              with("false,\"3s\",7.8", "false,\"-3s\",7.8"),
+              with("false,\"3s\",7.8", "false,\"3s\",-7.8")}) {
+            CPPUNIT_ASSERT_THROW_MESSAGE(text, checkText(text), settings_error);
+            const routing_document read = platform_routing_codec().decode(text);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{3}, read.routes.size());
+            CPPUNIT_ASSERT_MESSAGE(text, read.routes[0].maxAttempts >= 1);
+            CPPUNIT_ASSERT_MESSAGE(text, read.routes[0].priority >= 0);
+            checkText(document);
+        }
+        const auto bodyLimit = [](const std::string &value) {
+            return platform_routing_codec()
+                .decode(
+                    replaced(document, "\"max_body_bytes\":1000", "\"max_body_bytes\":" + value))
+                .limits.maxBodyBytes;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1} << 53, bodyLimit("1e30"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bodyLimit("-1"));
+    }
+
+    // Guards against rejecting a document that can be put into force as it stands.
+    void acceptsUnusualDocuments()
+    {
+        for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+                 {"\"max_body_bytes\":1000", "\"max_body_bytes\":0"},
+                 {"\"max_body_bytes\":1000", "\"max_body_bytes\":1e3"},
+                 {"\"max_body_bytes\":1000", "\"more\":{\"max_body_bytes\":1}"},
+                 {"1,\"s\",2,true", "1,\"s\",2.0,true"},
+                 {"1,\"s\",2,true", "1000,\"s\",100,true"},
+                 {"\"unsafe\"", "\"another\""},
+                 {"\"unheard_of\"", "\"unheard_of_too\""},
+                 {"[\"a\",\"h\"", "[\"a\",\"h.example:8080\""},
+                 {"[\"a\",\"h\"", "[\"b\",\"[2001:db8::1]\""},
+                 {"null,3,false", "\"s\",3,false"}, // the split counts
+                 {"false,\"3s\",7.8", "false,\"0s\",0"}})
+            checkText(replaced(document, from, to));
+    }
+
     // Guards against rejecting the whole list because of one malformed entry of another program.
     void malformedEntryDoesNotAffectOthers()
     {
