Use an upstream that is listed twice once

A page of the list that has an id twice put both entries into the list. Which one counted depended on an unstable sort, so a draining upstream could go on getting requests, and each reading made a new version of the list.

Cause: entries were sorted by id and not compared; an entry that has a field twice took the later value.

Change: one entry of each id is kept, the last one, unless another says that the upstream drains. An entry with a repeated field is skipped like other entries that can't be read.

Evidence: idThatIsListedTwiceIsUsedOnce fails without the change (3 entries in place of 2) and passes with it.

--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -10,6 +10,7 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <set>
 
 #include <fmt/format.h>
 
@@ -33,8 +34,9 @@
 {
     if (member.depth > maxEntryDepth)
         return std::nullopt;
-    const json entry = json::parse(member.value, nullptr, false);
-    if (!entry.is_object())
+    std::set<std::string> repeatedNames;
+    const json entry = parseJson(member.value, repeatedNames);
+    if (!entry.is_object() || !repeatedNames.empty())
         return std::nullopt;
     try {
         listed_upstream result;
@@ -66,6 +68,24 @@
     }
 }
 
+// Keeps one entry of each id. Of several different ones, the last counts, as for other readers of
+// JSON, unless another says that the upstream drains: it must get no further requests then.
+// `upstreams` must be sorted by id, in the order of the page. Returns the number of entries left
+// out.
+std::size_t removeRepeatedIds(std::vector<listed_upstream> &upstreams)
+{
+    const std::size_t before = upstreams.size();
+    std::vector<listed_upstream> kept;
+    for (listed_upstream &upstream : upstreams) {
+        if (kept.empty() || kept.back().id != upstream.id)
+            kept.push_back(std::move(upstream));
+        else if (!kept.back().isDraining)
+            kept.back() = std::move(upstream);
+    }
+    upstreams = std::move(kept);
+    return before - upstreams.size();
+}
+
 std::string percentEncoded(const std::string &text)
 {
     std::string result;
@@ -186,7 +206,8 @@
         else
             ++result.skippedEntries;
     }
-    std::ranges::sort(result.upstreams, {}, &listed_upstream::id);
+    std::ranges::stable_sort(result.upstreams, {}, &listed_upstream::id);
+    result.skippedEntries += removeRepeatedIds(result.upstreams);
     const auto token = std::ranges::find(*page, "next_token", &json_member::name);
     if (token != page->end() && token->depth == 0) {
         const json next = json::parse(token->value, nullptr, false);
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(acceptsUnusualDocuments);
     CPPUNIT_TEST(skipsInvalidInstances);
     CPPUNIT_TEST(malformedEntryDoesNotAffectOthers);
+    CPPUNIT_TEST(idThatIsListedTwiceIsUsedOnce);
     CPPUNIT_TEST(deepEntryUsesLittleMemory);
     CPPUNIT_TEST(readsSettings);
     CPPUNIT_TEST_SUITE_END();
@@ -211,7 +212,8 @@
               entryWith("extra", "1e999"), entryWith("address", R"("10.0.0.1:70000")"),
               entryWith("address", R"("10.0.0.1:0")"), entryWith("address", R"("10.0.0.1:-1")"),
               entryWith("address", R"("10.0.0.1:99999999999999999999")"),
-              entryWith("cold_remaining", R"("1e999s")"), std::string("[}")}) {
+              entryWith("cold_remaining", R"("1e999s")"), std::string("[}"),
+              R"({"state":"draining",)" + entryWith("state", R"("ready")").substr(1)}) {
             const std::string text = fmt::format(R"({{"instances":{{"a":{},"odd":{},"z":{}}},)"
                                                  R"("next_token":"p"}})",
                                                  entryWith("x", "1"), odd, entryWith("x", "1"));
@@ -223,6 +225,35 @@
         }
     }
 
+    // Guards against a draining upstream that gets requests, or a list that changes with each
+    // reading, because an id is listed twice and the order of the two entries is arbitrary.
+    void idThatIsListedTwiceIsUsedOnce()
+    {
+        const auto entry
+            = [](const std::string &id, const std::string &address, const std::string &state) {
+                  return fmt::format(R"("{}":{{"service":"s","address":"{}","zone":"z","slots":4,)"
+                                     R"("state":"{}"}})",
+                                     id, address, state);
+              };
+        const std::string other = entry("other", "10.0.0.9:80", "ready");
+        const auto read = [&](const std::string &first, const std::string &second) {
+            const instance_page page = parseInstancePage(
+                fmt::format(R"({{"instances":{{{},{},{}}}}})", first, other, second));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, page.upstreams.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.skippedEntries);
+            CPPUNIT_ASSERT_EQUAL(std::string("other"), page.upstreams[1].id);
+            return page.upstreams[0];
+        };
+        const std::string ready = entry("i", "10.0.0.1:80", "ready");
+        const std::string draining = entry("i", "10.0.0.1:80", "draining");
+        CPPUNIT_ASSERT(read(ready, draining).isDraining);
+        CPPUNIT_ASSERT(read(draining, ready).isDraining);
+        CPPUNIT_ASSERT(!read(ready, ready).isDraining);
+        const std::string moved = entry("i", "10.0.0.2:80", "ready");
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80"), read(ready, moved).address);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), read(moved, ready).address);
+    }
+
     // Guards against running out of memory on a deeply nested entry: a parsed level takes 50 times
     // as much memory as its two bytes of text.
     void deepEntryUsesLittleMemory()
