--- a/src/platform/json_members.cc
+++ b/src/platform/json_members.cc
@@ -92,14 +92,15 @@
         if (!scanner.skipString())
             return std::nullopt;
         const auto name = nlohmann::json::parse(scanner.textSince(nameStart), nullptr, false);
-        if (!name.is_string() || !scanner.consume(':'))
+        if (!scanner.consume(':'))
             return std::nullopt;
         scanner.skipSpace();
         const std::size_t valueStart = scanner.position();
         json_member member;
         if (!scanner.skipValue(member.depth))
             return std::nullopt;
-        member.name = name.get<std::string>();
+        if (name.is_string())
+            member.name = name.get<std::string>();
         member.value = scanner.textSince(valueStart);
         result.push_back(std::move(member));
     } while (scanner.consume(','));
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(acceptsUnusualDocuments);
     CPPUNIT_TEST(skipsInvalidInstances);
     CPPUNIT_TEST(malformedEntryDoesNotAffectOthers);
+    CPPUNIT_TEST(unreadableIdDoesNotAffectOthers);
     CPPUNIT_TEST(idThatIsListedTwiceIsUsedOnce);
     CPPUNIT_TEST(deepEntryUsesLittleMemory);
     CPPUNIT_TEST(readsSettings);
@@ -225,6 +226,28 @@
         }
     }
 
+    // Guards against a list that stands still because one id can't be read as text.
+    void unreadableIdDoesNotAffectOthers()
+    {
+        const auto entry = [](const std::string &id) {
+            return fmt::format(R"("{}":{{"service":"s","address":"10.0.0.1:80","zone":"z",)"
+                               R"("slots":4,"state":"ready"}})",
+                               id);
+        };
+        for (const std::string &odd :
+             {std::string(R"(i-\ud800)"), std::string(R"(i-\udc00\ud800)"), std::string(R"(i-\x)"),
+              std::string(R"(i-\u12)"), std::string("i-\n"), std::string("i-\x01"),
+              std::string("i-\0", 3), std::string("i-\xff"), std::string()}) {
+            const instance_page read = parseInstancePage(
+                fmt::format(R"({{"instances":{{{},{},{}}},"next_token":"p","{}":1}})", entry("a"),
+                            entry(odd), entry("z"), odd));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::size_t{2}, read.upstreams.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string("z"), read.upstreams[1].id);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::size_t{1}, read.skippedEntries);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd, std::string("p"), read.nextToken);
+        }
+    }
+
     // Guards against a draining upstream that gets requests, or a list that changes with each
     // reading, because an id is listed twice and the order of the two entries is arbitrary.
     void idThatIsListedTwiceIsUsedOnce()
