Reject lookups and orders whose target can't be decoded

What callers saw: one lookup with name=%zz, or an evacuation order for "akl%", ended the control process that got it.

Cause: Poco::URI throws for malformed percent signs, and nothing caught it on the event loop's thread.

Change: both calls get 400.

Evidence: malformedTargetsAreRejected ended with "terminate called after throwing an instance of 'Poco::URISyntaxException'" before and passes now; it asks for a sound lookup and a sound order after each malformed one.

--- a/src/platform/control_api.cc
+++ b/src/platform/control_api.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <Poco/Exception.h>
 #include <Poco/URI.h>
 
 #include <fmt/format.h>
@@ -98,8 +99,13 @@
     } else if (path.starts_with(platform_wire::evacuationsPath)
                && (method == "POST" || method == "DELETE")) {
         std::string domain;
-        Poco::URI::decode(path.substr(std::string_view(platform_wire::evacuationsPath).size()),
-                          domain);
+        try {
+            Poco::URI::decode(path.substr(std::string_view(platform_wire::evacuationsPath).size()),
+                              domain);
+        } catch (const Poco::SyntaxException &) {
+            respondWithError(exchange, badRequest, "the path can't be decoded");
+            return;
+        }
         enqueueCommand(exchange, [&routing, domain, isStart = method == "POST"] {
             return routing.evacuate(domain, isStart);
         });
@@ -110,18 +116,23 @@
 
 void control_api::handleDirectoryLookup(const exchange_pointer &exchange) const
 {
-    const Poco::URI target(exchange->head.target);
-    if (target.getPath() != platform_wire::resolvePath) {
-        respondWithError(exchange, notFound, "no such call");
-        return;
-    }
     std::string region;
     std::string domain;
-    for (const auto &[name, value] : target.getQueryParameters()) {
-        if (name == "region")
-            region = value;
-        else if (name == "zone")
-            domain = value;
+    try {
+        const Poco::URI target(exchange->head.target);
+        if (target.getPath() != platform_wire::resolvePath) {
+            respondWithError(exchange, notFound, "no such call");
+            return;
+        }
+        for (const auto &[name, value] : target.getQueryParameters()) {
+            if (name == "region")
+                region = value;
+            else if (name == "zone")
+                domain = value;
+        }
+    } catch (const Poco::SyntaxException &) {
+        respondWithError(exchange, badRequest, "the target can't be decoded");
+        return;
     }
     std::vector<directory_entry> entries;
     for (const entry_instance_table::entry &entry : m_node.entryInstances().live(m_clock.now()))
