--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -123,6 +123,8 @@
         return "truncated response";
     case call_failure::too_large:
         return "response too large";
+    case call_failure::unassigned:
+        return "response without a request id";
     }
     return "unknown";
 }
@@ -265,9 +267,11 @@
         std::min(m_callerDeadline, m_responseDeadline) - std::chrono::steady_clock::now()));
     call.isHead = m_exchange->head.method == "HEAD";
     if (!m_id.empty())
-        call.matches = [this](const http_head &head) {
+        call.ownerOf = [this](const http_head &head) {
             const std::string *echoed = head.find(m_proxy.m_headerNames.requestId);
-            return echoed == nullptr || *echoed == m_id;
+            if (echoed == nullptr)
+                return response_owner::unknown;
+            return *echoed == m_id ? response_owner::current_call : response_owner::other_call;
         };
     call.onSent = [self = shared_from_this()] { self->handleSent(); };
     call.onHead = [self = shared_from_this()](const http_head &head) { self->handleHead(head); };
@@ -323,10 +327,6 @@
 
 bool proxied_request::isNotRun(const client_response &response) const
 {
-    // On a reused connection, a refusal without a request id may be a duplicate of the refusal of
-    // an earlier request.
-    if (m_isReused && response.head.find(m_proxy.m_headerNames.requestId) == nullptr)
-        return false;
     return response.head.status == misdirected
         || response.head.find(m_proxy.m_headerNames.notRun) != nullptr;
 }
@@ -454,7 +454,8 @@
         = failure != call_failure::not_connected && failure != call_failure::not_sent;
     if (failure == call_failure::not_connected)
         m_proxy.m_upstreams.recordConnectionLoss(*m_upstream, now);
-    else if (failure != call_failure::malformed && failure != call_failure::too_large)
+    else if (failure != call_failure::malformed && failure != call_failure::too_large
+             && failure != call_failure::unassigned)
         m_proxy.m_upstreams.recordConnectionLoss(*m_upstream, m_client->lastReceivedAt());
     if (failure == call_failure::not_connected)
         m_upstream->recordUnreachable(now);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -148,7 +148,13 @@
         fail(call_failure::too_large);
         return false;
     }
-    m_isSkipping = m_call->matches && !m_call->matches(head);
+    const response_owner owner
+        = m_call->ownerOf ? m_call->ownerOf(head) : response_owner::current_call;
+    if (owner == response_owner::unknown) {
+        fail(call_failure::unassigned);
+        return false;
+    }
+    m_isSkipping = owner == response_owner::other_call;
     if (m_isSkipping && ++m_skippedResponses > maxSkippedResponses)
         throw http_error(badGateway, "too many responses to other requests");
     // If the response arrived before the request was sent completely, the upstream could take the
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,11 +26,20 @@
     no_response, // sent at least partly, but no response started; it may have been executed
     malformed, // the received bytes are not a valid response
     truncated, // the response ended early
+    unassigned, // the response doesn't say to which request it belongs
     too_large, // the response exceeds a size limit
 };
 
+// To which call a response belongs.
+enum class response_owner {
+    current_call,
+    other_call,
+    unknown,
+};
+
 // One HTTP/1.1 connection to a server, for one call at a time. Responses are buffered completely. A
-// response that doesn't match the current call belongs to an earlier call and is skipped. The sizes
+// response to another call is skipped. One that can't be assigned to any call ends the current one,
+// because the bytes that follow it can't be trusted either. The sizes
 // of heads and bodies and the numbers of interim and skipped responses are limited, so that a
 // server can't send data without end. The bodies of all connections together are limited by a
 // response_budget.
@@ -46,8 +55,8 @@
         std::string request; // head and body as sent on the wire
         bool isRequestComplete = true; // otherwise append() adds the rest of the body
         bool isHead = false;
-        // Returns whether a response belongs to this call. If empty, all responses do.
-        std::function<bool(const http_head &)> matches;
+        // Returns to which call a response belongs. If empty, all belong to this one.
+        std::function<response_owner(const http_head &)> ownerOf;
         // Called when the kernel has accepted the first byte of the request. May be empty.
         std::function<void()> onSent;
         // Called when the head of the response has arrived, before its body. Must not use the
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(endlessResponsesDoNotExhaustMemory);
     CPPUNIT_TEST(duplicateRefusalIsSkipped);
     CPPUNIT_TEST(refusalWithoutIdOnReusedConnectionGives502);
+    CPPUNIT_TEST(responsesWithoutIdAreNotUsed);
     CPPUNIT_TEST(requestWithoutIdGetsNewConnection);
     CPPUNIT_TEST(responseWithoutLengthNeedsCleanClose);
     CPPUNIT_TEST(responseResetDuringUploadIsNotForwarded);
@@ -329,6 +330,66 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, system.arrivals());
     }
 
+    // Guards against taking bytes that an upstream sends out of turn for the response to a request:
+    // the caller would get another's response, or a guarantee that its request did not run, and the
+    // upstream would be taken out of use for what it did not say about itself.
+    void responsesWithoutIdAreNotUsed()
+    {
+        const std::string seal = headerNames.seal + ": s\r\n";
+        const std::vector<std::string> strayResponses = {
+            scriptedResponse(200, headerNames.upstreamId + ": u0\r\n", ""),
+            scriptedResponse(200, seal, "stray"),
+            scriptedResponse(200, headerNames.leaving + ": 1\r\n", ""),
+            scriptedResponse(200, headerNames.requestLimit + ": 0.1\r\n", ""),
+            scriptedResponse(200, headerNames.load + ": 900,900,1\r\n", ""),
+            scriptedResponse(204, "", ""),
+            scriptedResponse(400, headerNames.notRun + ": 1\r\n", ""),
+            scriptedResponse(404, "", "stray"),
+            scriptedResponse(408, "", ""),
+            scriptedResponse(421, headerNames.notRun + ": 1\r\n", ""),
+            scriptedResponse(421, headerNames.upstreamId + ": other\r\n", ""),
+            scriptedResponse(429, headerNames.notRun + ": 1\r\n", ""),
+            scriptedResponse(500, seal, "stray"),
+            scriptedResponse(503, "Retry-After: 100\r\n", ""),
+            scriptedResponse(503, headerNames.notRun + ": 1\r\nRetry-After: 100\r\n", ""),
+            "HTTP/1.1 200 OK\r\n" + seal + "\r\nstray without a length",
+            "HTTP/1.1 200 OK\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n5\r\nstray\r\n",
+        };
+        for (const std::string &stray : strayResponses) {
+            for (const bool isFollowed : {false, true}) {
+                const scripted_server::script script = [&](const std::string &request) {
+                    if (!scriptedField(request, headerNames.requestId).starts_with("stray"))
+                        return answerOk(request);
+                    return scripted_answer{stray + (isFollowed ? answerOk(request).bytes : "")};
+                };
+                const auto checkSound = [&](proxy_fixture &system, const std::string &id) {
+                    const http_response response = system.send("/once/x", id, "claim");
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(stray, 200, response.status);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(stray, std::string("done"), response.body);
+                };
+                proxy_fixture system({script});
+                checkSound(system, "id-1"); // leaves a connection that is reused
+                const http_response response = system.send("/once/x", "stray-1", "claim");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(stray, 502, response.status);
+                CPPUNIT_ASSERT_MESSAGE(stray, response.body.find("stray") == std::string::npos);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(stray, std::size_t{2}, system.arrivals());
+                checkSound(system, "id-2");
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(stray, std::size_t{2},
+                                             system.upstreams[0]->connections());
+                // The first response on a connection must have the id, too.
+                proxy_fixture fresh({script});
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(stray, 502,
+                                             fresh.send("/once/x", "stray-1", "claim").status);
+                checkSound(fresh, "id-1");
+                // A request that may run twice is sent to another upstream.
+                proxy_fixture retrying({script, answerOk});
+                for (int i = 0; i < 4; ++i)
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                        stray, 200, retrying.send("/safe/x", fmt::format("stray-{}", i)).status);
+            }
+        }
+    }
+
     // Without a request id, a response can't be told from one to an earlier request.
     void requestWithoutIdGetsNewConnection()
     {
