--- a/src/carrier/proxied_request.cc
+++ b/src/carrier/proxied_request.cc
@@ -22,6 +22,8 @@
 constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
+constexpr int firstSuccess = 200;
+constexpr int firstRedirection = 300;
 constexpr int firstServerError = 500;
 
 constexpr std::chrono::milliseconds defaultDeadline{30'000}; // if the request has no deadline field
@@ -398,7 +400,10 @@
             upstream.recordLoad(static_cast<double>(*running), static_cast<double>(*waiting), now);
     }
     const bool notRun = isNotRun(response);
-    const bool isFailure = notRun || status >= firstServerError;
+    // A success that is not signed comes from another program at the upstream's address.
+    const bool isUnsigned = status >= firstSuccess && status < firstRedirection
+        && response.head.find(m_proxy.m_headerNames.seal) == nullptr;
+    const bool isFailure = notRun || isUnsigned || status >= firstServerError;
     // A rejection that names its end is no sign of a fault.
     if (!m_wantsQuiet)
         upstream.recordOutcome(isFailure, now);
@@ -415,7 +420,7 @@
         upstream.restarts.recordResponse(m_client->connectedAt(), now);
     }
     if (isFailure)
-        logFailedAttempt(notRun ? "not run" : "failed");
+        logFailedAttempt(notRun ? "not run" : isUnsigned ? "not signed" : "failed");
     releaseUpstream();
     if (m_isFinished) {
         m_proxy.m_loop.cancel(m_timeoutTimer);
@@ -431,15 +436,17 @@
     }
     const bool impliesNotRun
         = status == unavailable || status == tooManyRequests || status == requestTimeout;
-    if (status >= firstServerError || impliesNotRun) {
+    if (status >= firstServerError || impliesNotRun || isUnsigned) {
         m_mayHaveRun = true;
         if (m_route->kind == request_kind::idempotent && mayRetry(attempt_reach::upstream)) {
             startAttempt();
             return;
         }
-        // Callers take these statuses as a guarantee that the request did not run.
-        if (impliesNotRun) {
-            respondLocally(badGateway, "upstream failed");
+        // Callers take these statuses as a guarantee that the request did not run, and a success
+        // as the upstream's.
+        if (impliesNotRun || isUnsigned) {
+            respondLocally(badGateway,
+                           isUnsigned ? "upstream's response is not signed" : "upstream failed");
             return;
         }
     }
--- a/tests/carrier/proxy_fixture.h
+++ b/tests/carrier/proxy_fixture.h
@@ -175,9 +175,15 @@
                        scriptedField(request, headerNames.requestId));
 }
 
+// The fields with which an upstream proves that a success is its response to the request.
+inline std::string signedEcho(const std::string &request)
+{
+    return echo(request) + headerNames.seal + ": s\r\n";
+}
+
 inline scripted_answer answerOk(const std::string &request)
 {
-    return {scriptedResponse(200, echo(request) + headerNames.seal + ": s\r\n", "done")};
+    return {scriptedResponse(200, signedEcho(request), "done")};
 }
 
 inline scripted_answer refuse(const std::string &request)
--- a/tests/carrier/request_limit_test.cc
+++ b/tests/carrier/request_limit_test.cc
@@ -36,7 +36,7 @@
             m_arrivals.push_back(std::chrono::steady_clock::now());
             const std::string field
                 = m_value.empty() ? "" : headerNames.requestLimit + ": " + m_value + "\r\n";
-            return scripted_answer{scriptedResponse(200, echo(request) + field, "done")};
+            return scripted_answer{scriptedResponse(200, signedEcho(request) + field, "done")};
         };
     }
     void setValue(std::string value)
@@ -173,7 +173,7 @@
     {
         proxy_fixture system({[](const std::string &request) {
             return scripted_answer{scriptedResponse(200,
-                                                    echo(request) + headerNames.upstreamId
+                                                    signedEcho(request) + headerNames.upstreamId
                                                         + ": other\r\n" + headerNames.requestLimit
                                                         + ": 0\r\n",
                                                     "")};
@@ -191,7 +191,7 @@
             if (isReplaced)
                 return scripted_answer{scriptedResponse(421, echo(request), "")};
             return scripted_answer{scriptedResponse(
-                200, echo(request) + headerNames.requestLimit + ": 5\r\n", "done")};
+                200, signedEcho(request) + headerNames.requestLimit + ": 5\r\n", "done")};
         }});
         CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
         isReplaced = true;
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(duplicateRefusalIsSkipped);
     CPPUNIT_TEST(refusalWithoutIdOnReusedConnectionGives502);
     CPPUNIT_TEST(responsesWithoutIdAreNotUsed);
+    CPPUNIT_TEST(successWithoutSealIsNotForwarded);
     CPPUNIT_TEST(requestWithoutIdGetsNewConnection);
     CPPUNIT_TEST(responseWithoutLengthNeedsCleanClose);
     CPPUNIT_TEST(responseResetDuringUploadIsNotForwarded);
@@ -390,6 +391,30 @@
         }
     }
 
+    // Guards against forwarding a success that no upstream of the platform has signed, such as the
+    // response of another program at the upstream's address.
+    void successWithoutSealIsNotForwarded()
+    {
+        for (const int status : {200, 201, 204, 206}) {
+            const scripted_server::script script = [&](const std::string &request) {
+                return scripted_answer{scriptedResponse(status, echo(request), "body")};
+            };
+            proxy_fixture system({script});
+            const http_response response = system.send("/once/x", "id", "claim");
+            CPPUNIT_ASSERT_EQUAL(502, response.status);
+            CPPUNIT_ASSERT(response.body.find("body") == std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, system.arrivals());
+            proxy_fixture retrying({script, answerOk});
+            for (int i = 0; i < 4; ++i)
+                CPPUNIT_ASSERT_EQUAL(200, retrying.send("/safe/x", fmt::format("id-{}", i)).status);
+        }
+        // Failures need no signature.
+        proxy_fixture system({[](const std::string &request) {
+            return scripted_answer{scriptedResponse(404, echo(request), "gone")};
+        }});
+        CPPUNIT_ASSERT_EQUAL(404, system.send("/once/x", "id", "claim").status);
+    }
+
     // Without a request id, a response can't be told from one to an earlier request.
     void requestWithoutIdGetsNewConnection()
     {
@@ -403,7 +428,7 @@
     void responseWithoutLengthNeedsCleanClose()
     {
         const auto answer = [](const std::string &request) {
-            return "HTTP/1.1 200 OK\r\n" + echo(request) + "Connection: close\r\n\r\nwhole";
+            return "HTTP/1.1 200 OK\r\n" + signedEcho(request) + "Connection: close\r\n\r\nwhole";
         };
         proxy_fixture cleanClose({[&](const std::string &request) {
             return scripted_answer{answer(request), true, false};
--- a/tests/carrier/upstream_notices_test.cc
+++ b/tests/carrier/upstream_notices_test.cc
@@ -175,9 +175,10 @@
     {
         for (const int status : {200, 404, 500, 503, 429, 421}) {
             const scripted_server::script leaves = [status](const std::string &request) {
-                return scripted_answer{scriptedResponse(
-                    status, echo(request) + headerNames.upstreamId + ": u0\r\n" + leavingField(),
-                    "")};
+                return scripted_answer{scriptedResponse(status,
+                                                        signedEcho(request) + headerNames.upstreamId
+                                                            + ": u0\r\n" + leavingField(),
+                                                        "")};
             };
             proxy_fixture system({leaves, answerOk});
             waitUntil("the leaving upstream has responded", [&] {
@@ -209,7 +210,7 @@
     void leavingOutlastsReadingsOfTheList()
     {
         proxy_fixture system({[](const std::string &request) {
-            return scripted_answer{scriptedResponse(200, echo(request) + leavingField(), "")};
+            return scripted_answer{scriptedResponse(200, signedEcho(request) + leavingField(), "")};
         }});
         CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
         listed_upstream entry;
@@ -235,7 +236,7 @@
         std::atomic<bool> leaves = true;
         proxy_fixture system({[&](const std::string &request) {
             return scripted_answer{
-                scriptedResponse(200, echo(request) + (leaves ? leavingField() : ""), "")};
+                scriptedResponse(200, signedEcho(request) + (leaves ? leavingField() : ""), "")};
         }});
         CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
         CPPUNIT_ASSERT_EQUAL(503, system.send("/safe/x").status);
@@ -249,7 +250,8 @@
     {
         proxy_fixture system({[](const std::string &request) {
             return scripted_answer{scriptedResponse(
-                200, echo(request) + headerNames.upstreamId + ": other\r\n" + leavingField(), "")};
+                200, signedEcho(request) + headerNames.upstreamId + ": other\r\n" + leavingField(),
+                "")};
         }});
         CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
         CPPUNIT_ASSERT_EQUAL(200, system.send("/safe/x").status);
@@ -263,7 +265,8 @@
             std::atomic<int> answered = 0;
             const scripted_server::script leaves = [&](const std::string &request) {
                 ++answered;
-                return scripted_answer{scriptedResponse(200, echo(request) + leavingField(), "")};
+                return scripted_answer{
+                    scriptedResponse(200, signedEcho(request) + leavingField(), "")};
             };
             proxy_fixture system({leaves, answerOk});
             std::vector<std::thread> callers;
