--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -58,6 +58,7 @@
     options.streamingThresholdBytes = streamingThresholdBytes;
     options.bodyBytesPerSecond = bodyShareOfLink * m_settings.linkBytesPerSecond;
     options.onInvalid = [this](const std::string &reason) { m_proxy.recordInvalidRequest(reason); };
+    options.onUndelivered = [this](std::uint64_t bytes) { m_proxy.recordUndelivered(bytes); };
     m_server = std::make_unique<http_server>(
         loop, socket_address::parse(m_settings.entryAddress), options,
         [this](const exchange_pointer &exchange) { m_proxy.handle(exchange); });
@@ -71,6 +72,8 @@
         });
     metrics.gauge("buckthorngrade_buffered_body_bytes", "",
                   [this] { return static_cast<double>(m_server->bufferedBytes()); });
+    metrics.gauge("buckthorngrade_unsent_response_bytes", "",
+                  [this] { return static_cast<double>(m_server->unsentBytes()); });
     reload(m_settings);
     poll();
 }
--- a/src/carrier/reverse_proxy.cc
+++ b/src/carrier/reverse_proxy.cc
@@ -119,6 +119,13 @@
         m_log.write(event_id::invalid_request, {{"reason", reason}});
 }
 
+void reverse_proxy::recordUndelivered(std::uint64_t bytes)
+{
+    m_metrics.counter("buckthorngrade_undelivered_responses_total").add();
+    if (m_log.shouldLog(event_id::response_undelivered))
+        m_log.write(event_id::response_undelivered, {{"bytes", bytes}});
+}
+
 void reverse_proxy::setRouting(std::shared_ptr<const route_table> routes)
 {
     m_routes = std::move(routes);
--- a/src/carrier/reverse_proxy.h
+++ b/src/carrier/reverse_proxy.h
@@ -62,6 +62,9 @@
     void applyLimits(const wire::node_view &view);
     // Counts a request that was rejected as malformed, and logs it within the log's rate limit.
     void recordInvalidRequest(const std::string &reason);
+    // Counts and logs a connection that was closed because its caller took no byte of its responses
+    // for too long.
+    void recordUndelivered(std::uint64_t bytes);
     // Sets the time at which requests in progress will be cut off. Requests, and further attempts,
     // that are not expected to end before it are rejected.
     void setStopTime(steady_time time) { m_stopTime = time; }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -88,6 +88,12 @@
     m_loop.post([removed] {});
 }
 
+bool http_server::owesResponses() const
+{
+    return std::ranges::any_of(m_connections,
+                               [](const auto &item) { return item.first->owesResponse(); });
+}
+
 void http_server::closeIdle()
 {
     std::vector<server_connection *> idle;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -74,7 +74,11 @@
 {
     std::chrono::milliseconds headTimeout{3'000}; // from the first to the last byte of a head
     std::chrono::milliseconds bodyTimeout{10'000}; // without progress
-    std::chrono::milliseconds idleTimeout{15'000}; // between requests on a connection
+    // Between the last byte of a response, as delivered, and the next request.
+    std::chrono::milliseconds idleTimeout{15'000};
+    // A connection is closed if its caller takes no byte of its responses for this time, which is
+    // longer than callers wait for a response.
+    std::chrono::milliseconds deliveryTimeout{30'000};
     std::uint64_t maxBodyBytes = 64U << 20; // per request; larger bodies get 413
     // Requests with longer bodies are passed to the handler before the body is complete.
     std::uint64_t streamingThresholdBytes = std::numeric_limits<std::uint64_t>::max();
@@ -84,9 +88,15 @@
     std::uint64_t maxBufferedBytes = 48U << 20; // total for all unanswered requests; beyond it: 503
     std::size_t maxConnections = 3'000; // further connections are closed immediately
     std::size_t maxPipelined = 64; // unanswered requests per connection
+    // While a connection, or all together, hold more bytes of unsent responses, no further request
+    // is read from a connection that waits for a response or has unsent bytes of one.
+    std::uint64_t maxUnsentBytesPerConnection = 1U << 20;
+    std::uint64_t maxUnsentBytes = 24U << 20;
     std::string retryAfter = "0.2"; // seconds; sent with a 503 when maxBufferedBytes is exceeded
     // Called with the reason for each request that the server rejects, for example as malformed.
     std::function<void(const std::string &)> onInvalid = [](const std::string &) {};
+    // Called with the number of bytes that a caller did not take within `deliveryTimeout`.
+    std::function<void(std::uint64_t)> onUndelivered = [](std::uint64_t) {};
 };
 
 // HTTP/1.1 server on an event loop. Heads and framing are validated strictly. A request is passed
@@ -116,6 +126,11 @@
     void closeIdle();
     std::size_t openConnections() const { return m_connections.size(); }
     std::size_t openRequests() const { return m_openRequests; }
+    // Returns whether a request has no response yet or a response is not delivered completely.
+    bool owesResponses() const;
+    // Returns the size of the responses that callers have not taken yet and that are not in the
+    // kernel's buffers.
+    std::uint64_t unsentBytes() const { return m_unsentBytes; }
     // Returns the size of the bodies of all unanswered requests, which is limited by
     // `maxBufferedBytes`.
     std::uint64_t bufferedBytes() const { return m_bufferedBytes; }
@@ -134,6 +149,7 @@
     bool m_isClosing = false;
     std::size_t m_openRequests = 0;
     std::uint64_t m_bufferedBytes = 0;
+    std::uint64_t m_unsentBytes = 0;
     std::unordered_map<server_connection *, std::unique_ptr<server_connection>> m_connections;
 };
 
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -10,8 +10,10 @@
 constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int badRequest = 400;
+constexpr int requestTimeout = 408;
 constexpr std::size_t pacedReadBytes = 4 * 1024; // bytes read at once of a streamed body
 constexpr std::chrono::milliseconds lingerTimeout{1'000}; // several round trips between regions
+constexpr std::chrono::milliseconds deliveryCheckPeriod{500};
 
 } // namespace
 
@@ -24,8 +26,13 @@
     handlers.onInput = [this] { processInput(); };
     handlers.onClosed = [this](close_reason) { removeFromServer(); };
     handlers.onSent = [this] {
+        if (m_isLingering)
+            return;
+        updateUnsentBytes();
         if (m_isClosing && m_pendingExchanges.empty())
             startLingeringClose();
+        else
+            processInput(); // requests may have waited until the responses were sent
     };
     m_socket.setHandlers(std::move(handlers));
     armTimer();
@@ -81,6 +88,16 @@
     m_bufferedBytes = bytes;
 }
 
+// Sets this connection's part of the server's total.
+void server_connection::updateUnsentBytes()
+{
+    std::uint64_t bytes = m_socket.isOpen() ? m_socket.unsentBytes() : 0;
+    for (const pending_exchange &pending : m_pendingExchanges)
+        bytes += pending.exchange->m_response.size();
+    m_server.m_unsentBytes += bytes - m_unsentBytes;
+    m_unsentBytes = bytes;
+}
+
 void server_connection::updateReading()
 {
     // Unread input stays in the kernel's buffer until earlier requests are answered.
@@ -106,7 +123,13 @@
 
 bool server_connection::isPipelineFull() const
 {
-    return m_pendingExchanges.size() >= m_server.m_options.maxPipelined;
+    const http_server_options &options = m_server.m_options;
+    if (m_pendingExchanges.size() >= options.maxPipelined)
+        return true;
+    const bool isWaiting = !m_pendingExchanges.empty() || m_socket.hasUnsent();
+    return isWaiting
+        && (m_unsentBytes > options.maxUnsentBytesPerConnection
+            || m_server.m_unsentBytes > options.maxUnsentBytes);
 }
 
 bool server_connection::readHead()
@@ -194,7 +217,7 @@
         ++m_server.m_openRequests;
     } else {
         if (m_pendingExchanges.empty()) {
-            startLingeringClose();
+            closeWhenSent();
             return;
         }
         m_pendingExchanges.back().keepAlive = false;
@@ -204,7 +227,7 @@
             exchange->onCallerGone();
         // A part of the request was passed on, so the caller must not be told that it was not
         // executed.
-        if (status == unavailable)
+        if (status == unavailable || status == requestTimeout)
             status = badGateway;
     }
     http_fields fields;
@@ -244,8 +267,7 @@
     if (m_isClosing && m_pendingExchanges.empty()) {
         m_currentExchange.reset();
         updateBufferedBytes();
-        if (!m_socket.hasUnsent())
-            startLingeringClose();
+        closeWhenSent();
         return;
     }
     if (!m_isClosing && !m_socket.input().empty())
@@ -254,10 +276,21 @@
                 self->processInput();
         });
     updateBufferedBytes();
+    updateUnsentBytes();
     updateReading();
     armTimer();
 }
 
+void server_connection::closeWhenSent()
+{
+    m_isClosing = true;
+    updateUnsentBytes();
+    if (m_socket.hasUnsent())
+        armTimer();
+    else
+        startLingeringClose();
+}
+
 // Lingering close: closing with unread bytes would reset the connection, and the caller could lose
 // the response.
 void server_connection::startLingeringClose()
@@ -271,29 +304,82 @@
     m_socket.limitReading(stream_socket::defaultReadLimitBytes);
     m_socket.pauseReading(false);
     m_socket.shutdownSending();
+    armLingerTimer();
+}
+
+void server_connection::armLingerTimer()
+{
     m_loop.cancel(m_timer);
     m_timer = m_loop.runAfter(lingerTimeout, [this] {
         m_timer = 0;
-        close();
+        if (isDelivering())
+            armLingerTimer();
+        else
+            close();
     });
 }
 
 void server_connection::armTimer()
 {
+    if (m_isLingering)
+        return;
     m_loop.cancel(m_timer);
-    if (!m_socket.isOpen() || (!m_pendingExchanges.empty() && !m_currentExchange))
+    m_timer = 0;
+    if (!m_socket.isOpen())
+        return;
+    // The rest of a head can't arrive while requests have to wait.
+    const bool isReading = m_currentExchange
+        || (!m_isClosing && m_pendingExchanges.empty() && !m_socket.input().empty()
+            && !isPipelineFull());
+    if (!isReading && m_socket.undeliveredBytes() > 0) {
+        m_timer = m_loop.runAfter(deliveryCheckPeriod, [this] {
+            m_timer = 0;
+            handleDeliveryTimer();
+        });
+        return;
+    }
+    if (!isReading && (m_isClosing || !m_pendingExchanges.empty()))
         return;
     const http_server_options &options = m_server.m_options;
-    const bool isReadingHead = !m_currentExchange && !m_socket.input().empty();
     const auto limit = m_currentExchange ? options.bodyTimeout
-        : isReadingHead                  ? options.headTimeout
+        : isReading                      ? options.headTimeout
                                          : options.idleTimeout;
     m_timer = m_loop.runAfter(limit, [this] {
         m_timer = 0;
-        close();
+        handleReadTimeout();
     });
 }
 
+bool server_connection::isDelivering()
+{
+    const std::uint64_t undelivered = m_socket.undeliveredBytes();
+    if (undelivered != m_undeliveredBytes) {
+        m_undeliveredBytes = undelivered;
+        m_deliveryProgressAt = m_loop.now();
+    }
+    return undelivered > 0
+        && m_loop.now() - m_deliveryProgressAt < m_server.m_options.deliveryTimeout;
+}
+
+void server_connection::handleDeliveryTimer()
+{
+    if (isDelivering() || m_undeliveredBytes == 0) {
+        armTimer();
+        return;
+    }
+    m_server.m_options.onUndelivered(m_undeliveredBytes);
+    close();
+}
+
+void server_connection::handleReadTimeout()
+{
+    const std::size_t unfinished = m_currentExchange && m_isDispatched ? 1 : 0;
+    if (m_pendingExchanges.size() > unfinished || m_socket.undeliveredBytes() > 0)
+        reject(requestTimeout, "the request took too long");
+    else
+        close();
+}
+
 void server_connection::close()
 {
     m_socket.close();
@@ -315,6 +401,7 @@
     m_pendingExchanges.clear();
     m_currentExchange.reset();
     updateBufferedBytes();
+    updateUnsentBytes();
     m_server.remove(this);
 }
 
--- a/src/net/stream_socket.cc
+++ b/src/net/stream_socket.cc
@@ -1,9 +1,11 @@
 #include "net/stream_socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -145,6 +147,14 @@
     updateEvents();
 }
 
+std::uint64_t stream_socket::undeliveredBytes() const
+{
+    int inKernel = 0;
+    if (!isOpen() || ::ioctl(m_descriptor, SIOCOUTQ, &inKernel) != 0)
+        inKernel = 0;
+    return m_output.size() + static_cast<std::uint64_t>(inKernel);
+}
+
 void stream_socket::writePending()
 {
     std::size_t done = 0;
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -55,8 +55,12 @@
     bool isConnected() const { return m_isConnected; }
     bool isOpen() const { return m_descriptor >= 0; }
     bool hasUnsent() const { return !m_output.empty(); }
+    // Number of bytes that the kernel has not accepted yet.
+    std::size_t unsentBytes() const { return m_output.size(); }
     // Number of bytes that the kernel has accepted since the connection was opened.
     std::uint64_t sentBytes() const { return m_sentBytes; }
+    // Number of bytes that the peer has not acknowledged yet, in this buffer and in the kernel's.
+    std::uint64_t undeliveredBytes() const;
     // While paused, received bytes stay in the kernel's buffer. A close by the peer is still
     // detected.
     void pauseReading(bool isPaused);
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -27,8 +27,8 @@
     return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
 }
 
-// Holds the exchanges whose path begins with "/hold" and responds to the others with their path and
-// body.
+// Holds the exchanges whose path begins with "/hold", responds to "/large" with a large body, and
+// to the others with their path and body.
 class holding_server
 {
 public:
@@ -39,6 +39,9 @@
                            exchange->onCallerGone = [this] { ++disconnects; };
                            heldExchanges.push_back(exchange);
                            ++heldCount;
+                       } else if (exchange->head.target.starts_with("/large")) {
+                           ++largeCount;
+                           exchange->respond(200, {}, largeBody());
                        } else {
                            exchange->respond(200, {}, exchange->head.target + exchange->body());
                        }
@@ -57,7 +60,32 @@
     std::string address() const { return m_server.address().toString(); }
     loop_thread &thread() { return m_thread; }
     http_server &server() { return m_server; }
+    // More than the kernel's buffers of a loopback connection hold, some 6 MB.
+    static const std::string &largeBody()
+    {
+        static const std::string body(16U << 20, 'x');
+        return body;
+    }
+    std::uint64_t unsentBytes()
+    {
+        std::uint64_t result = 0;
+        m_thread.call([&] { result = m_server.unsentBytes(); });
+        return result;
+    }
+    bool owesResponses()
+    {
+        bool result = false;
+        m_thread.call([&] { result = m_server.owesResponses(); });
+        return result;
+    }
+    std::size_t openConnections()
+    {
+        std::size_t result = 0;
+        m_thread.call([&] { result = m_server.openConnections(); });
+        return result;
+    }
 
+    std::atomic<int> largeCount = 0;
     std::deque<exchange_pointer> heldExchanges; // accessed only on the loop's thread
     std::atomic<int> heldCount = 0;
     std::atomic<int> disconnects = 0;
@@ -76,6 +104,13 @@
     return body;
 }
 
+void waitFor(std::chrono::milliseconds time)
+{
+    const auto start = std::chrono::steady_clock::now();
+    waitUntil("the time has passed",
+              [&] { return std::chrono::steady_clock::now() - start >= time; });
+}
+
 // Checks that a caller's request with a body is served.
 void expectBodyIsServed(holding_server &server, const std::string &context)
 {
@@ -145,6 +180,13 @@
     CPPUNIT_TEST(incompleteOrMalformedBodyEndsItsRequest);
     CPPUNIT_TEST(limitsRateOfStreamedBodies);
     CPPUNIT_TEST(bodyThatEndsEarlyLeavesRoomForOthers);
+    CPPUNIT_TEST(connectionIsNotIdleWhileResponsesAreSent);
+    CPPUNIT_TEST(incompleteRequestDoesNotCutOffEarlierResponses);
+    CPPUNIT_TEST(rejectionDoesNotCutOffEarlierResponses);
+    CPPUNIT_TEST(idleTimeBeginsWhenResponseIsDelivered);
+    CPPUNIT_TEST(callerThatTakesNothingIsDisconnected);
+    CPPUNIT_TEST(unsentResponsesAreBounded);
+    CPPUNIT_TEST(headThatWaitsForResponsesIsNotTimedOut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -409,6 +451,175 @@
         waitUntil("no bytes are buffered: " + context, [&] { return bufferedBytes() == 0; });
     }
 
+    // Guards against closing a connection as idle, or in a stop, while a caller still reads its
+    // responses. What the kernel's buffers hold would hide this.
+    void connectionIsNotIdleWhileResponsesAreSent()
+    {
+        http_server_options options;
+        options.idleTimeout = 200ms;
+        for (const int requests : {1, 3}) {
+            holding_server server(options);
+            http_connection connection(server.connect());
+            for (int i = 0; i < requests; ++i)
+                connection.send(request("/large"));
+            waitUntil("a response is sent", [&] { return server.largeCount > 0; });
+            waitFor(4 * options.idleTimeout);
+            CPPUNIT_ASSERT(server.owesResponses());
+            server.thread().call([&] { server.server().closeIdle(); });
+            for (int i = 0; i < requests; ++i)
+                CPPUNIT_ASSERT(readBody(connection) == holding_server::largeBody());
+            connection.send(request("/after"));
+            CPPUNIT_ASSERT_EQUAL(std::string("/after"), readBody(connection));
+            CPPUNIT_ASSERT(connection.waitPeerLeft(10s)); // now it is idle
+            CPPUNIT_ASSERT(!server.owesResponses());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, server.unsentBytes());
+        }
+    }
+
+    // Guards against losing responses that are still sent because a request behind them stays
+    // incomplete.
+    void incompleteRequestDoesNotCutOffEarlierResponses()
+    {
+        http_server_options options;
+        options.headTimeout = 200ms;
+        options.bodyTimeout = 200ms;
+        for (const std::uint64_t maxUnsentBytes : {0, 64 << 20}) {
+            options.maxUnsentBytesPerConnection = options.maxUnsentBytes = maxUnsentBytes;
+            for (const std::string &rest :
+                 {std::string("GET /x HT"), request("/x", "Content-Length: 9\r\n") + "part"}) {
+                holding_server server(options);
+                http_connection connection(server.connect());
+                connection.send(request("/large") + rest);
+                waitUntil("a response is sent", [&] { return server.largeCount > 0; });
+                waitFor(4 * options.headTimeout);
+                CPPUNIT_ASSERT(readBody(connection) == holding_server::largeBody());
+                // The request is rejected if it was read while the response was being sent.
+                Poco::Net::HTTPResponse head;
+                CPPUNIT_ASSERT_EQUAL(maxUnsentBytes > 0, connection.readHead(head));
+                if (maxUnsentBytes > 0) {
+                    CPPUNIT_ASSERT_EQUAL(408, static_cast<int>(head.getStatus()));
+                    CPPUNIT_ASSERT_EQUAL(std::string("close"), head.get("Connection"));
+                }
+                expectBodyIsServed(server, rest);
+            }
+        }
+    }
+
+    // As above, for a request that is malformed after it was answered.
+    void rejectionDoesNotCutOffEarlierResponses()
+    {
+        http_server_options options;
+        options.streamingThresholdBytes = 1'000;
+        holding_server server(options);
+        http_connection connection(server.connect());
+        connection.send(request("/large", "Transfer-Encoding: chunked\r\n") + "7d0\r\n"
+                        + std::string(2'000, 'x') + "\r\n");
+        waitUntil("the response is sent", [&] { return server.largeCount > 0; });
+        connection.send("not a size\r\n");
+        waitUntil("the connection reads no further", [&] {
+            bool isRejected = false;
+            server.thread().call([&] { isRejected = server.server().openRequests() == 0; });
+            return isRejected;
+        });
+        CPPUNIT_ASSERT(readBody(connection) == holding_server::largeBody());
+        expectBodyIsServed(server, "after the malformed body");
+    }
+
+    // Guards against an idle time that begins when the kernel takes the end of a response. A caller
+    // on a slow link that reuses its connection in time would find it closed.
+    void idleTimeBeginsWhenResponseIsDelivered()
+    {
+        http_server_options options;
+        options.idleTimeout = 200ms;
+        holding_server server(options);
+        Poco::Net::StreamSocket socket;
+        constexpr int windowBytes = 8 * 1024;
+        socket.init(AF_INET);
+        socket.setReceiveBufferSize(windowBytes);
+        socket.connect(Poco::Net::SocketAddress(server.address()));
+        http_connection connection(socket);
+        const std::string path = "/" + std::string(15'000, 'p');
+        connection.send(request(path));
+        connection.send(request(path));
+        waitFor(6 * options.idleTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, server.unsentBytes());
+        CPPUNIT_ASSERT(server.owesResponses());
+        CPPUNIT_ASSERT_EQUAL(path, readBody(connection));
+        CPPUNIT_ASSERT_EQUAL(path, readBody(connection));
+        connection.send(request("/after"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/after"), readBody(connection));
+    }
+
+    // Guards against connections and memory that are held forever by callers that don't read.
+    void callerThatTakesNothingIsDisconnected()
+    {
+        http_server_options options;
+        options.deliveryTimeout = 600ms;
+        std::atomic<std::uint64_t> undelivered = 0;
+        options.onUndelivered = [&](std::uint64_t bytes) { undelivered = bytes; };
+        for (const std::string &fields : {std::string(), std::string("Connection: close\r\n")}) {
+            undelivered = 0;
+            holding_server server(options);
+            http_connection connection(server.connect());
+            connection.send(request("/large", fields));
+            waitUntil("the response is sent", [&] { return server.unsentBytes() > 0; });
+            waitUntil("the connection is closed", [&] { return server.openConnections() == 0; });
+            CPPUNIT_ASSERT(undelivered > 0);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, server.unsentBytes());
+            expectBodyIsServed(server, "after a caller that did not read");
+        }
+    }
+
+    // Guards against memory for the responses to pipelined requests of callers that don't read: the
+    // number of unanswered requests doesn't limit it, because all of them are answered.
+    void unsentResponsesAreBounded()
+    {
+        http_server_options options;
+        options.maxUnsentBytes = 40U << 20;
+        holding_server server(options);
+        constexpr int callers = 6;
+        constexpr int requests = 8;
+        std::vector<http_connection> connections;
+        for (int i = 0; i < callers; ++i) {
+            connections.emplace_back(server.connect());
+            for (int j = 0; j < requests; ++j)
+                connections.back().send(request("/large"));
+        }
+        waitUntil("each caller has a response", [&] { return server.largeCount >= callers; });
+        // A caller with unsent responses gets no further ones, and one without gets its own.
+        const std::uint64_t responseBytes = holding_server::largeBody().size() + 1'000;
+        CPPUNIT_ASSERT(server.unsentBytes() <= callers * responseBytes);
+        CPPUNIT_ASSERT_EQUAL(callers, server.largeCount.load());
+        expectBodyIsServed(server, "while others don't read");
+        for (http_connection &connection : connections)
+            for (int j = 0; j < requests; ++j)
+                CPPUNIT_ASSERT(readBody(connection) == holding_server::largeBody());
+        CPPUNIT_ASSERT_EQUAL(callers * requests, server.largeCount.load());
+        waitUntil("all is sent", [&] { return server.unsentBytes() == 0; });
+    }
+
+    // Guards against rejecting a request whose head is incomplete only because the server doesn't
+    // read the rest until earlier responses are sent.
+    void headThatWaitsForResponsesIsNotTimedOut()
+    {
+        http_server_options options;
+        options.headTimeout = 200ms;
+        holding_server server(options);
+        http_connection connection(server.connect());
+        connection.send(request("/large"));
+        waitUntil("the response is sent", [&] { return server.unsentBytes() > 0; });
+        constexpr int requests = 40; // more than is read at once
+        const std::string padding = "Padding: " + std::string(3'000, 'p') + "\r\n";
+        std::string text;
+        for (int i = 0; i < requests; ++i)
+            text += request(fmt::format("/{}", i), padding);
+        connection.send(text);
+        waitFor(4 * options.headTimeout);
+        CPPUNIT_ASSERT(readBody(connection) == holding_server::largeBody());
+        for (int i = 0; i < requests; ++i)
+            CPPUNIT_ASSERT_EQUAL(fmt::format("/{}", i), readBody(connection));
+    }
+
     void abortClosesConnectionWithoutResponse()
     {
         holding_server server;
