--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -246,7 +246,7 @@
 void entry_node::checkStopped(steady_time since)
 {
     const bool isLimitReached = m_loop.now() - since >= m_settings.stopLimit - stopMargin;
-    if (m_server->openRequests() == 0 || isLimitReached) {
+    if (!m_server->owesResponses() || isLimitReached) {
         m_onStopped();
         return;
     }
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -144,6 +144,7 @@
 {
     CPPUNIT_TEST_SUITE(entry_node_test);
     CPPUNIT_TEST(stoppingInstanceAnswersEveryRequestThatItReads);
+    CPPUNIT_TEST(stoppingInstanceDeliversItsResponses);
     CPPUNIT_TEST(votersOfInstanceWithoutLeaderAreIgnored);
     CPPUNIT_TEST(routingVersionZeroComesIntoForce);
     CPPUNIT_TEST(documentOfEarlierReleaseComesIntoForce);
@@ -286,6 +287,88 @@
         CPPUNIT_ASSERT_EQUAL(1, events.count());
     }
 
+    // Guards against a planned stop that ends the process while callers still read responses, and
+    // against one that waits for a caller that reads nothing for longer than the stop limit.
+    void stoppingInstanceDeliversItsResponses()
+    {
+        const std::string body(12U << 20, 'x'); // more than the kernel's buffers hold
+        loop_thread thread;
+        scripted_server upstream(thread.loop(), [&](const std::string &request) {
+            return scripted_answer{
+                scriptedResponse(200, echo(request) + headerNames.seal + ": s\r\n", body)};
+        });
+        wire::node_view view;
+        view.set_replica(loopback);
+        view.add_voters(loopback);
+        view.set_has_leader(true);
+        view.set_routing_version(1);
+        view.set_routing_text("document");
+        view.set_listing_digest(1);
+        encodeUpstream({"u0", "s", upstream.address(), "d", 1'000, false, 0ms, 1},
+                       *view.add_upstreams());
+        fixed_view_service control(view);
+        const free_port controlPort;
+        const std::unique_ptr<grpc::Server> server = serveViews(control, controlPort.address());
+        const fixed_codec codec;
+        null_event_log events;
+        metric_registry metrics;
+        loop_thread nodes;
+        std::vector<std::unique_ptr<entry_node>> started;
+        const free_port ports[4];
+        const auto start = [&](const free_port &entryPort, const free_port &readyPort) {
+            node_settings settings = nodeSettings();
+            settings.entryAddress = entryPort.address();
+            settings.readyAddress = readyPort.address();
+            settings.firstInternalPort = controlPort.number();
+            settings.seedHosts = {"127.0.0.1"};
+            settings.stopLimit = 6s;
+            settings.linkBytesPerSecond = 125e6;
+            started.push_back(std::make_unique<entry_node>(nodes.loop(), settings, headerNames,
+                                                           codec, events, metrics));
+        };
+        start(ports[0], ports[1]);
+        start(ports[2], ports[3]);
+        thread.start();
+        nodes.start();
+        waitUntil("the instances are ready", [&] {
+            bool areReady = false;
+            nodes.call([&] { areReady = started[0]->isReady() && started[1]->isReady(); });
+            return areReady;
+        });
+        const auto requestFrom = [&](const free_port &port, const std::string &id) {
+            http_connection connection(
+                Poco::Net::StreamSocket(Poco::Net::SocketAddress(port.address())));
+            connection.send(fmt::format("GET /safe/x HTTP/1.1\r\nHost: test\r\n{}: {}\r\n\r\n",
+                                        headerNames.requestId, id));
+            return connection;
+        };
+        http_connection reader = requestFrom(ports[0], "id-1");
+        http_connection stalled = requestFrom(ports[2], "id-2");
+        waitUntil("the responses are under way", [&] { return upstream.requests().size() == 2; });
+        std::atomic<bool> haveStopped[2] = {false, false};
+        const auto stoppedAt = std::chrono::steady_clock::now();
+        nodes.call([&] {
+            started[0]->stop([&] { haveStopped[0] = true; });
+            started[1]->stop([&] { haveStopped[1] = true; });
+        });
+        waitUntil("new requests are rejected",
+                  [&] { return std::chrono::steady_clock::now() - stoppedAt > 3'500ms; });
+        CPPUNIT_ASSERT(!haveStopped[0] && !haveStopped[1]);
+        Poco::Net::HTTPResponse head;
+        CPPUNIT_ASSERT(reader.readHead(head));
+        std::string received;
+        CPPUNIT_ASSERT(reader.readBody(head, [&](std::string_view part) { received += part; }));
+        CPPUNIT_ASSERT(received == body);
+        waitUntil("the instance with a caller that reads has stopped",
+                  [&] { return haveStopped[0].load(); });
+        waitUntil("the other one has stopped", [&] { return haveStopped[1].load(); });
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stoppedAt < 6s);
+        nodes.stop();
+        thread.stop();
+        started.clear();
+        server->Shutdown();
+    }
+
     // Guards against a planned stop that takes requests late in its grace period, forwards them,
     // and closes their connections without a response when the period ends.
     void stoppingInstanceAnswersEveryRequestThatItReads()
