Log all faults of a document that was accepted earlier

An entry instance logged routing_invalid for faults that checkRouting() finds, and not for those that only decodeNew() finds, such as a column that is given twice. It now decodes a document like a new one first, and falls back to the lenient decoder, with the log line, if that fails.

--- a/src/carrier/entry_node.cc
+++ b/src/carrier/entry_node.cc
@@ -166,9 +166,8 @@
         return;
     }
     try {
-        auto routes = std::make_shared<const route_table>(m_codec.decode(view.routing_text()));
+        auto routes = std::make_shared<const route_table>(decodeRouting(view.routing_text()));
         m_routingVersion = view.routing_version();
-        reportInvalidRouting(routes->document());
         const request_limits &limits = routes->document().limits;
         http_server_options options = m_server->options();
         options.headTimeout = limits.headerTimeout;
@@ -186,15 +185,19 @@
     }
 }
 
-// Control instances accept valid documents only, but the check may have been less strict when the
-// document was accepted. Without it, no request would be served.
-void entry_node::reportInvalidRouting(const routing_document &document)
+routing_document entry_node::decodeRouting(const std::string &text)
 {
     try {
+        routing_document document = m_codec.decodeNew(text);
         checkRouting(document);
+        return document;
     } catch (const settings_error &fault) {
+        // The document was accepted by a release that did not check for this. Without it, no
+        // request would be served.
+        routing_document document = m_codec.decode(text);
         m_events.write(event_id::routing_invalid,
                        {{"version", document.version}, {"reason", fault.what()}});
+        return document;
     }
 }
 
--- a/src/carrier/entry_node.h
+++ b/src/carrier/entry_node.h
@@ -42,8 +42,9 @@
     void poll();
     void applyView(const std::string &host, const wire::node_view &view);
     void applyRouting(const wire::node_view &view, const std::string &host);
-    // Logs a fault of a document that the check of new documents would reject.
-    void reportInvalidRouting(const routing_document &document);
+    // Decodes a document that control instances have accepted. Logs a fault for which they would
+    // reject it as a new one. Throws settings_error if it can't be read.
+    routing_document decodeRouting(const std::string &text);
     void applyEvacuations(const wire::node_view &view);
     void updateReadiness();
     // Sends a report to all control instances and asks one of them for the details.
