Build the texts of two tests with fmt

clang-tidy refused the concatenations in sameHostsAreRejectedAndOthersToldApart (performance-inefficient-string-concatenation). The test is unchanged otherwise.

--- a/tests/carrier/route_table_test.cc
+++ b/tests/carrier/route_table_test.cc
@@ -161,7 +161,7 @@
                {"[2001:db8::1]", "[2001:db8::1]:80"},
                {"[2001:db8::1]:1", "[2001:db8::1]:2"}};
         for (const auto &[first, second] : same) {
-            const std::string what = first + " and " + second;
+            const std::string what = fmt::format("{} and {}", first, second);
             CPPUNIT_ASSERT_MESSAGE(
                 what, !isAccepted(documentOf({routeAt(first, "/p/"), routeAt(second, "/p/")})));
             CPPUNIT_ASSERT_MESSAGE(
@@ -176,7 +176,7 @@
                {"[2001:db8::1]:80", "[2001:db8::2]:80"},
                {"10.0.0.1:80", "10.0.0.2:80"}};
         for (const auto &[first, second] : different) {
-            const std::string what = first + " and " + second;
+            const std::string what = fmt::format("{} and {}", first, second);
             const routing_document document
                 = documentOf({routeAt(first, "/p/"), routeAt(second, "/p/")});
             CPPUNIT_ASSERT_MESSAGE(what, isAccepted(document));
