--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -89,7 +89,8 @@
     std::size_t maxConnections = 3'000; // further connections are closed immediately
     std::size_t maxPipelined = 64; // unanswered requests per connection
     // While a connection, or all together, hold more bytes of unsent responses, no further request
-    // is read from a connection that waits for a response or has unsent bytes of one.
+    // is read from a connection that waits for a response or has unsent bytes of one. The total
+    // fits beside the request bodies above and what reverse_proxy receives of responses.
     std::uint64_t maxUnsentBytesPerConnection = 1U << 20;
     std::uint64_t maxUnsentBytes = 24U << 20;
     std::string retryAfter = "0.2"; // seconds; sent with a 503 when maxBufferedBytes is exceeded
--- a/tests/carrier/entry_node_test.cc
+++ b/tests/carrier/entry_node_test.cc
@@ -101,6 +101,18 @@
     routing_document decodeNew(std::string_view text) const override { return decode(text); }
 };
 
+// Settings of an entry instance whose control instance listens on `controlPort`.
+node_settings settingsWith(const free_port &entryPort, const free_port &readyPort,
+                           const free_port &controlPort)
+{
+    node_settings result = nodeSettings();
+    result.entryAddress = entryPort.address();
+    result.readyAddress = readyPort.address();
+    result.firstInternalPort = controlPort.number();
+    result.seedHosts = {"127.0.0.1"};
+    return result;
+}
+
 // Decodes a document that an earlier release accepted: two of its routes are for the same host.
 class same_hosts_codec final : public routing_codec
 {
@@ -169,11 +181,7 @@
             = serveViews(replaced, fmt::format("127.0.0.2:{}", port.number()));
         const free_port entryPort;
         const free_port readyPort;
-        node_settings settings = nodeSettings();
-        settings.entryAddress = entryPort.address();
-        settings.readyAddress = readyPort.address();
-        settings.firstInternalPort = port.number();
-        settings.seedHosts = {"127.0.0.1"};
+        const node_settings settings = settingsWith(entryPort, readyPort, port);
         const fixed_codec codec;
         null_event_log events;
         metric_registry metrics;
@@ -214,11 +222,7 @@
         const auto server = serveViews(control, port.address());
         const free_port entryPort;
         const free_port readyPort;
-        node_settings settings = nodeSettings();
-        settings.entryAddress = entryPort.address();
-        settings.readyAddress = readyPort.address();
-        settings.firstInternalPort = port.number();
-        settings.seedHosts = {"127.0.0.1"};
+        const node_settings settings = settingsWith(entryPort, readyPort, port);
         const fixed_codec codec;
         null_event_log events;
         metric_registry metrics;
@@ -264,11 +268,7 @@
         const auto server = serveViews(control, port.address());
         const free_port entryPort;
         const free_port readyPort;
-        node_settings settings = nodeSettings();
-        settings.entryAddress = entryPort.address();
-        settings.readyAddress = readyPort.address();
-        settings.firstInternalPort = port.number();
-        settings.seedHosts = {"127.0.0.1"};
+        const node_settings settings = settingsWith(entryPort, readyPort, port);
         const same_hosts_codec codec;
         CPPUNIT_ASSERT_THROW(checkRouting(codec.decode("document")), settings_error);
         warning_counter events("routing_invalid");
@@ -316,11 +316,7 @@
         std::vector<std::unique_ptr<entry_node>> started;
         const free_port ports[4];
         const auto start = [&](const free_port &entryPort, const free_port &readyPort) {
-            node_settings settings = nodeSettings();
-            settings.entryAddress = entryPort.address();
-            settings.readyAddress = readyPort.address();
-            settings.firstInternalPort = controlPort.number();
-            settings.seedHosts = {"127.0.0.1"};
+            node_settings settings = settingsWith(entryPort, readyPort, controlPort);
             settings.stopLimit = 6s;
             settings.linkBytesPerSecond = 125e6;
             started.push_back(std::make_unique<entry_node>(nodes.loop(), settings, headerNames,
@@ -398,11 +394,7 @@
 
         const free_port entryPort;
         const free_port readyPort;
-        node_settings settings = nodeSettings();
-        settings.entryAddress = entryPort.address();
-        settings.readyAddress = readyPort.address();
-        settings.firstInternalPort = controlPort.number();
-        settings.seedHosts = {"127.0.0.1"};
+        node_settings settings = settingsWith(entryPort, readyPort, controlPort);
         settings.stopLimit = 6s;
         settings.linkBytesPerSecond = 125e6;
         const fixed_codec codec;
