Go on reading when other connections make room for responses

Found while the limit of all unsent responses was read again: a connection that waits only because others have unsent responses was not read again when these were gone, until its own caller took all it had. With a part of a head already read, the head timeout then rejected that request with 408, though the rest of it had not been read.

Change: the check of the delivery goes through processInput(), which decides anew what is read and which timer runs.

Evidence: readingResumesWhenOthersTakeTheirResponses failed with "the request took too long" and passes now (test_net 26).

--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -364,7 +364,7 @@
 void server_connection::handleDeliveryTimer()
 {
     if (isDelivering() || m_undeliveredBytes == 0) {
-        armTimer();
+        processInput(); // other connections may have made room for the responses to its requests
         return;
     }
     m_server.m_options.onUndelivered(m_undeliveredBytes);
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -187,6 +187,7 @@
     CPPUNIT_TEST(callerThatTakesNothingIsDisconnected);
     CPPUNIT_TEST(unsentResponsesAreBounded);
     CPPUNIT_TEST(headThatWaitsForResponsesIsNotTimedOut);
+    CPPUNIT_TEST(readingResumesWhenOthersTakeTheirResponses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -620,6 +621,31 @@
             CPPUNIT_ASSERT_EQUAL(fmt::format("/{}", i), readBody(connection));
     }
 
+    // As above, for a connection that waits only because others have unsent responses: it has to go
+    // on reading once these are gone, although nothing happens on the connection itself.
+    void readingResumesWhenOthersTakeTheirResponses()
+    {
+        http_server_options options;
+        options.headTimeout = 200ms;
+        options.maxUnsentBytesPerConnection = 64U << 20;
+        options.maxUnsentBytes = 20U << 20;
+        holding_server server(options);
+        http_connection other(server.connect());
+        http_connection connection(server.connect());
+        const std::string next = request("/next");
+        constexpr std::size_t firstPart = 10;
+        other.send(request("/large"));
+        connection.send(request("/large") + next.substr(0, firstPart));
+        waitUntil("both have unsent responses",
+                  [&] { return server.unsentBytes() > options.maxUnsentBytes; });
+        connection.send(next.substr(firstPart));
+        other.reset();
+        waitUntil("the other caller is gone", [&] { return server.openConnections() == 1; });
+        waitFor(6 * options.headTimeout);
+        CPPUNIT_ASSERT(readBody(connection) == holding_server::largeBody());
+        CPPUNIT_ASSERT_EQUAL(std::string("/next"), readBody(connection));
+    }
+
     void abortClosesConnectionWithoutResponse()
     {
         holding_server server;
