replica_test: restart a replica that reports its full disk late

Cause: the test looked for a failed replica right after its disk had room again. A replica that did so after the look was not started again, as the platform does with a process that ends, and the test waited for its state.

The test now restarts a failed replica whenever it finds one, and it is stricter than before: a process that was started while its disk had room must not fail.

--- a/tests/agreement/replica_test.cc
+++ b/tests/agreement/replica_test.cc
@@ -119,17 +119,20 @@
         target.disk->restart(memory_file_system::lost::all, 1);
     }
     // Ends the process of a replica and starts it on the same files, whose disk stays full until
-    // `fullUntil`, as often as it takes for a start to succeed.
-    void restartAfterFailure(replica_id id, std::chrono::steady_clock::time_point fullUntil)
+    // `fullUntil`, as often as it takes for a start to succeed. Returns whether the disk had room at
+    // that start.
+    bool restartAfterFailure(replica_id id, std::chrono::steady_clock::time_point fullUntil)
     {
         member &target = m_members[id];
         m_network.detach(id);
         if (target.process)
             target.process->stop();
         target.process.reset();
+        bool hasRoom = false;
         CPPUNIT_ASSERT(waitFor([&] {
             target.disk->restart(memory_file_system::lost::nothing, 1);
-            if (std::chrono::steady_clock::now() < fullUntil)
+            hasRoom = std::chrono::steady_clock::now() >= fullUntil;
+            if (!hasRoom)
                 target.disk->setFault(memory_file_system::fault::disk_full);
             try {
                 start(id);
@@ -138,6 +141,7 @@
                 return false;
             }
         }));
+        return hasRoom;
     }
     bool hasFailed(replica_id id)
     {
@@ -177,14 +181,16 @@
         }));
     }
 
+    bool haveEqualState(const std::vector<replica_id> &ids)
+    {
+        std::set<std::string> states;
+        for (const replica_id id : ids)
+            states.insert(machine(id).text());
+        return states.size() == 1;
+    }
     void waitForEqualState(const std::vector<replica_id> &ids)
     {
-        CPPUNIT_ASSERT(waitFor([&] {
-            std::set<std::string> states;
-            for (const replica_id id : ids)
-                states.insert(machine(id).text());
-            return states.size() == 1;
-        }));
+        CPPUNIT_ASSERT(waitFor([&] { return haveEqualState(ids); }));
     }
 
     // Waits until the leader lists `id` as a voter with the current incarnation of the replica.
@@ -418,22 +424,36 @@
                 .submit(numbered("c", ++written) + filler, requestTimeout)
                 .get();
         };
+        // A process reports a failed file operation some time after the operation, so it may fail
+        // when its disk has room again. A process that was started since then must not fail.
+        std::set<replica_id> mayFail;
+        std::map<replica_id, std::chrono::steady_clock::time_point> fullUntil;
+        const auto restartFailed = [&] {
+            for (const replica_id id : all)
+                if (cluster.hasFailed(id)) {
+                    CPPUNIT_ASSERT(mayFail.contains(id));
+                    if (cluster.restartAfterFailure(id, fullUntil[id]))
+                        mayFail.erase(id);
+                }
+        };
         for (int round = 0; round < rounds; ++round)
             for (const replica_id full : all) {
                 cluster.disk(full).setFault(memory_file_system::fault::disk_full);
-                const auto fullUntil = std::chrono::steady_clock::now() + fullFor;
-                while (std::chrono::steady_clock::now() < fullUntil) {
+                mayFail.insert(full);
+                fullUntil[full] = std::chrono::steady_clock::now() + fullFor;
+                while (std::chrono::steady_clock::now() < fullUntil[full]) {
                     writeSome();
-                    if (cluster.hasFailed(full))
-                        cluster.restartAfterFailure(full, fullUntil);
+                    restartFailed();
                 }
                 cluster.disk(full).setFault(memory_file_system::fault::none);
-                if (cluster.hasFailed(full))
-                    cluster.restartAfterFailure(full, fullUntil);
+                restartFailed();
                 cluster.write(numbered("room again ", round * 10 + static_cast<int>(full)));
             }
         cluster.write("after");
-        cluster.waitForEqualState(all);
+        CPPUNIT_ASSERT(waitFor([&] {
+            restartFailed();
+            return cluster.haveEqualState(all);
+        }));
         for (const replica_id id : all)
             CPPUNIT_ASSERT(cluster.machine(id).has("before") && cluster.machine(id).has("after"));
     }
