Keep a quiet period when a later Retry-After is shorter

An upstream that rejects requests that were sent together names a period in each response. upstream_notices kept the end of the latest one, so a shorter period that was named later ended a longer one, and the upstream got requests while it wanted none. The rule counts the period of each response.

The period that ends last now stays in force. eachQuietPeriodIsKept failed before at isQuiet(start + 59s), and noticesFollowReference, whose reference looks at all periods now, with "Expected: 1, Actual: 0".

--- a/src/steering/upstream_notices.cc
+++ b/src/steering/upstream_notices.cc
@@ -13,7 +13,8 @@
 
 void upstream_notices::recordQuiet(steady_time now, std::chrono::milliseconds period)
 {
-    m_quietUntil = now + std::min<std::chrono::milliseconds>(period, maxQuietPeriod);
+    m_quietUntil = std::max<steady_time>(
+        m_quietUntil, now + std::min<std::chrono::milliseconds>(period, maxQuietPeriod));
     m_mustProve = true;
 }
 
