Remove control peers that are gone from the peer link

grpc_peer_transport kept a thread and a queue for each address that it had ever sent to and dropped messages to further ones beyond 64, so a control instance could not speak to new members after enough machines had been replaced.

A peer that is not connected and had no message in either direction for 60 s now gives up its place; the next message adds it again. Connected peers stay, because an election needs their connections at once after a calm period.

--- a/src/control/grpc_peer_transport.cc
+++ b/src/control/grpc_peer_transport.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <mutex>
 #include <optional>
+#include <ranges>
 #include <thread>
 #include <utility>
 
@@ -60,6 +61,7 @@
     bounded_ring<std::string> queue;
     std::atomic<std::size_t> queuedBytes = 0;
     std::atomic<steady_time> lastReceived = steady_time::min();
+    steady_time lastUsed = std::chrono::steady_clock::now(); // guarded by m_mutex of the transport
     std::mutex mutex;
     grpc::ClientContext *context = nullptr;
     std::thread thread;
@@ -76,23 +78,40 @@
             addPeer(id, address);
 }
 
-grpc_peer_transport::peer &grpc_peer_transport::addPeer(replica_id id, const std::string &address)
+std::shared_ptr<grpc_peer_transport::peer>
+grpc_peer_transport::addPeer(replica_id id, const std::string &address)
 {
-    std::unique_ptr<peer> &added = m_peers[id];
-    added = std::make_unique<peer>(id, address, m_settings.maxQueuedMessages);
+    const auto added = std::make_shared<peer>(id, address, m_settings.maxQueuedMessages);
     added->thread = std::thread([this, &target = *added] { run(target); });
-    return *added;
+    m_peers[id] = added;
+    return added;
 }
 
-grpc_peer_transport::peer *grpc_peer_transport::findPeer(replica_id id)
+std::shared_ptr<grpc_peer_transport::peer> grpc_peer_transport::findPeer(replica_id id)
 {
     const std::lock_guard lock(m_mutex);
-    if (const auto found = m_peers.find(id); found != m_peers.end())
-        return found->second.get();
+    if (const auto found = m_peers.find(id); found != m_peers.end()) {
+        found->second->lastUsed = std::chrono::steady_clock::now();
+        return found->second;
+    }
     if (!m_settings.addressOf || id == m_settings.self || m_stopping
         || m_peers.size() >= m_settings.maxPeers)
         return nullptr;
-    return &addPeer(id, m_settings.addressOf(id));
+    std::ranges::for_each(m_removed, [](const auto &removed) { removed->thread.join(); });
+    m_removed.clear();
+    return addPeer(id, m_settings.addressOf(id));
+}
+
+bool grpc_peer_transport::removeIfUnused(const peer &candidate)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_stopping || m_settings.addresses.contains(candidate.id)
+        || std::chrono::steady_clock::now() - candidate.lastUsed < m_settings.unusedTimeout)
+        return false;
+    const auto found = m_peers.find(candidate.id);
+    m_removed.push_back(std::move(found->second));
+    m_peers.erase(found);
+    return true;
 }
 
 void grpc_peer_transport::connect(replica_id to)
@@ -102,7 +121,7 @@
 
 void grpc_peer_transport::recordReceived(replica_id from)
 {
-    if (peer *sender = findPeer(from))
+    if (const auto sender = findPeer(from))
         sender->lastReceived = std::chrono::steady_clock::now();
 }
 
@@ -121,14 +140,17 @@
         to->queue.close();
         to->cancel();
     }
-    for (const auto &[id, to] : m_peers)
-        if (to->thread.joinable())
-            to->thread.join();
+    const auto join = [](const std::shared_ptr<peer> &ending) {
+        if (ending->thread.joinable())
+            ending->thread.join();
+    };
+    std::ranges::for_each(m_peers | std::views::values, join);
+    std::ranges::for_each(m_removed, join);
 }
 
 void grpc_peer_transport::send(replica_id to, std::string bytes)
 {
-    peer *found = findPeer(to);
+    const auto found = findPeer(to);
     const std::size_t size = bytes.size();
     if (found == nullptr || size > maxPayloadBytes) {
         m_dropped.add();
@@ -155,6 +177,8 @@
         }
         if (!channel->WaitForConnected(std::chrono::system_clock::now() + connectTimeout)) {
             discardQueued(to, std::chrono::milliseconds(0));
+            if (removeIfUnused(to))
+                return;
             continue;
         }
         if (runStream(to, *stub))
--- a/src/control/grpc_peer_transport.h
+++ b/src/control/grpc_peer_transport.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace buckthorngrade {
 
@@ -31,6 +32,10 @@
         // replicas are dropped.
         std::function<std::string(replica_id)> addressOf;
         std::size_t maxPeers = 64; // with `addressOf`; messages to further replicas are dropped
+        // A replica from `addressOf` that can't be reached and had no message in either direction
+        // for this long gives up its place among `maxPeers`, with its thread and queue. The next
+        // message takes a new one.
+        std::chrono::milliseconds unusedTimeout{60'000};
         // A stream is reopened on a new connection if a message was sent to the peer and none has
         // arrived from it since, on any connection, for this long. 0 disables this.
         std::chrono::milliseconds silenceTimeout{0};
@@ -58,9 +63,11 @@
 
 private:
     struct peer;
-    peer *findPeer(replica_id id);
-    peer &addPeer(replica_id id, const std::string &address);
+    std::shared_ptr<peer> findPeer(replica_id id);
+    std::shared_ptr<peer> addPeer(replica_id id, const std::string &address);
     void run(peer &to);
+    // Removes the peer if it is unused. Called by the peer's thread, which must then end.
+    bool removeIfUnused(const peer &candidate);
     // Sends until the stream fails, the peer is silent for too long or stop() is called. Returns
     // true if the peer accepted the stream.
     bool runStream(peer &to, wire::replica_link::Stub &stub);
@@ -70,8 +77,9 @@
     event_log &m_events;
     metric_counter &m_dropped;
     std::atomic<bool> m_stopping = false;
-    std::mutex m_mutex; // guards m_peers
-    std::map<replica_id, std::unique_ptr<peer>> m_peers;
+    std::mutex m_mutex; // guards m_peers and m_removed; neither changes once m_stopping is set
+    std::map<replica_id, std::shared_ptr<peer>> m_peers;
+    std::vector<std::shared_ptr<peer>> m_removed; // their threads are ending
 };
 
 // Implements replica_link.Deliver: passes the payloads of streams for this cluster and replica to
--- a/tests/control/grpc_peer_transport_test.cc
+++ b/tests/control/grpc_peer_transport_test.cc
@@ -120,6 +120,8 @@
     CPPUNIT_TEST(idleStreamStaysOpen);
     CPPUNIT_TEST(silentPeerGetsNewConnection);
     CPPUNIT_TEST(rejectsOtherClusters);
+    CPPUNIT_TEST(replacedPeersMakeRoom);
+    CPPUNIT_TEST(unusedConnectionStaysOpen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +236,62 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), misaddressed.count());
     }
 
+    // Guards against a control instance that can't speak to new members because addresses of
+    // machines that are gone take all places.
+    void replacedPeersMakeRoom()
+    {
+        auto end = std::make_unique<test_receiver>(2, 0);
+        const int port = end->port();
+        const int closedPort = 1;
+        grpc_peer_transport::settings settings = settingsFor("c", port);
+        settings.addresses.clear();
+        settings.addressOf = [&](replica_id id) {
+            return fmt::format("127.0.0.1:{}", id == 2 ? port : closedPort);
+        };
+        settings.maxPeers = 3;
+        settings.unusedTimeout = 100ms;
+        grpc_peer_transport link(settings, m_events, m_metrics);
+        for (const replica_id gone : {10, 11, 12})
+            link.send(gone, "to a machine that is gone");
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "first");
+            return end->has("first");
+        }));
+        // A peer that was removed itself gets messages again once it returns.
+        end.reset();
+        std::this_thread::sleep_for(2s); // longer than unusedTimeout and an attempt to connect
+        CPPUNIT_ASSERT(waitFor([&] {
+            end = std::make_unique<test_receiver>(2, port);
+            return end->isListening();
+        }));
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "after its return");
+            return end->has("after its return");
+        }));
+    }
+
+    // Guards against an election whose first vote requests wait for connections that were closed
+    // because followers exchange nothing in calm periods.
+    void unusedConnectionStaysOpen()
+    {
+        test_receiver end(2, 0);
+        grpc_peer_transport::settings settings = settingsFor("c", end.port());
+        settings.addresses.clear();
+        settings.addressOf = [&](replica_id) { return fmt::format("127.0.0.1:{}", end.port()); };
+        settings.unusedTimeout = 50ms;
+        connection_counter events;
+        grpc_peer_transport link(settings, events, m_metrics);
+        CPPUNIT_ASSERT(waitFor([&] {
+            link.send(2, "first");
+            return end.has("first");
+        }));
+        const int before = events.connections;
+        std::this_thread::sleep_for(1s);
+        link.send(2, "after a calm period");
+        CPPUNIT_ASSERT(waitFor([&] { return end.has("after a calm period"); }));
+        CPPUNIT_ASSERT_EQUAL(before, events.connections.load());
+    }
+
 private:
     null_event_log m_events;
     metric_registry m_metrics;
