Reject a page of the list whose token or list is ambiguous

A page whose next_token is a number, an object or unreadable text was taken for the last page, and of two members 'instances' the first one counted. The upstreams of the other pages, or of the other list, then seem to be gone and get no requests.

Such a page now fails the read, and the list that was read before stays in use.

--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -86,6 +86,28 @@
     return before - upstreams.size();
 }
 
+// Returns the member of this name, or null if there is none. Throws control_error if it is given
+// twice: which of the values counts would decide which upstreams seem to be gone.
+const json_member *findOnce(const std::vector<json_member> &members, std::string_view name)
+{
+    if (std::ranges::count(members, name, &json_member::name) > 1)
+        throw control_error(fmt::format("the page of the list has '{}' twice", name));
+    const auto found = std::ranges::find(members, name, &json_member::name);
+    return found == members.end() ? nullptr : &*found;
+}
+
+// Returns the token of the next page, or an empty string on the last page. Throws control_error if
+// the token can't be read: the upstreams of the further pages would seem to be gone.
+std::string parseToken(const json_member &member)
+{
+    const json token = member.depth == 0 ? json::parse(member.value, nullptr, false) : json();
+    if (member.depth == 0 && token.is_null())
+        return {};
+    if (!token.is_string() || token.get_ref<const std::string &>().find(nonAsciiPlaceholder) != std::string::npos)
+        throw control_error("the page of the list has an unreadable 'next_token'");
+    return token.get<std::string>();
+}
+
 std::string percentEncoded(const std::string &text)
 {
     std::string result;
@@ -195,8 +217,8 @@
     const auto page = splitJsonObject(text);
     if (!page)
         throw control_error("the list of instances is malformed");
-    const auto list = std::ranges::find(*page, "instances", &json_member::name);
-    const auto entries = list == page->end() ? std::nullopt : splitJsonObject(list->value);
+    const json_member *list = findOnce(*page, "instances");
+    const auto entries = list == nullptr ? std::nullopt : splitJsonObject(list->value);
     if (!entries)
         throw control_error("the list of instances is malformed");
     instance_page result;
@@ -208,12 +230,8 @@
     }
     std::ranges::stable_sort(result.upstreams, {}, &listed_upstream::id);
     result.skippedEntries += removeRepeatedIds(result.upstreams);
-    const auto token = std::ranges::find(*page, "next_token", &json_member::name);
-    if (token != page->end() && token->depth == 0) {
-        const json next = json::parse(token->value, nullptr, false);
-        if (next.is_string())
-            result.nextToken = next.get<std::string>();
-    }
+    if (const json_member *token = findOnce(*page, "next_token"))
+        result.nextToken = parseToken(*token);
     return result;
 }
 
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(unreadableIdDoesNotAffectOthers);
     CPPUNIT_TEST(idThatIsListedTwiceIsUsedOnce);
     CPPUNIT_TEST(deepEntryUsesLittleMemory);
+    CPPUNIT_TEST(oddTokenIsNotTheEndOfTheList);
     CPPUNIT_TEST(readsSettings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -324,6 +325,25 @@
         CPPUNIT_ASSERT_THROW(parseInstancePage("{\"instances\":"), control_error);
     }
 
+    // Guards against taking a page with an odd token, or with two lists, for the end of the list:
+    // the upstreams of the other pages, or of the other list, would seem to be gone.
+    void oddTokenIsNotTheEndOfTheList()
+    {
+        const auto page
+            = [](const std::string &members) { return parseInstancePage("{" + members + "}"); };
+        const std::string list = R"("instances":{})";
+        CPPUNIT_ASSERT_EQUAL(std::string("p 1&"), page(list + R"(,"next_token":"p 1&")").nextToken);
+        for (const char *end : {"", R"(,"next_token":null)", R"(,"next_token":"")"})
+            CPPUNIT_ASSERT_MESSAGE(end, page(list + end).nextToken.empty());
+        for (const char *odd :
+             {R"(,"next_token":5)", R"(,"next_token":true)", R"(,"next_token":["p1"])",
+              R"(,"next_token":{})", R"(,"next_token":"\ud800")", ",\"next_token\":\"\xff\"",
+              R"(,"next_token":p1)", R"(,"next_token":"p1","next_token":null)",
+              R"(,"instances":{})"})
+            CPPUNIT_ASSERT_THROW_MESSAGE(odd, page(list + odd), control_error);
+        page(list);
+    }
+
     void readsSettings()
     {
         const node_settings read = parsePlatformSettings(R"({"node_name":"n","ip":"10.1.0.12",
