Reject settings that are out of range

parsePlatformSettings checked the types of numbers but hardly their range: an internal port of 70000 became 4464, and shares, allowances and times below 0 were accepted and used.

Settings out of range now end the start with a message. Amounts and times may be 0 except budget_window and link_mbps, from which rates are computed.

--- a/src/platform/platform_settings.cc
+++ b/src/platform/platform_settings.cc
@@ -5,7 +5,9 @@
 #include "platform/wire_names.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -21,6 +23,9 @@
 
 constexpr double bytesPerMegabit = 1e6 / 8;
 
+// The port after the first one is used, too.
+constexpr std::uint64_t maxFirstPort = std::numeric_limits<std::uint16_t>::max() - 1;
+
 // No control group is large enough to bear the loss of more disks; guards against typing errors.
 constexpr int maxToleratedLosses = 1'000;
 
@@ -39,6 +44,25 @@
     return address.empty() ? std::uint16_t{0} : socket_address::parse(address).port;
 }
 
+// Throws settings_error unless the number is finite and at least 0.
+double amountField(const json &object, const char *name, double fallback)
+{
+    const double result = numberField(object, name, fallback);
+    if (!std::isfinite(result) || result < 0)
+        throw settings_error(fmt::format("'{}' must be a number of at least 0", name));
+    return result;
+}
+
+// Throws settings_error if the time is below 0.
+std::chrono::milliseconds periodField(const json &object, const char *name,
+                                      std::chrono::milliseconds fallback)
+{
+    const std::chrono::milliseconds result = durationField(object, name, fallback);
+    if (result.count() < 0)
+        throw settings_error(fmt::format("'{}' must be a time of at least 0", name));
+    return result;
+}
+
 void readAddresses(const json &all, node_settings &result)
 {
     const json listen = objectField(all, "listen");
@@ -50,7 +74,11 @@
     if (ports == all.end() || !ports->is_array() || ports->empty()
         || !ports->front().is_number_unsigned())
         throw settings_error("'internal_ports' must be a list of two ports");
-    result.firstInternalPort = ports->front().get<std::uint16_t>();
+    const auto firstPort = ports->front().get<std::uint64_t>();
+    if (firstPort == 0 || firstPort > maxFirstPort)
+        throw settings_error(
+            fmt::format("'internal_ports' must begin with a port from 1 to {}", maxFirstPort));
+    result.firstInternalPort = static_cast<std::uint16_t>(firstPort);
     result.controlPort = portOf(result.controlAddress);
     const auto seeds = all.find("seeds");
     if (seeds == all.end() || !seeds->is_array())
@@ -67,15 +95,17 @@
 void readBounds(const json &all, node_settings &result)
 {
     const json bounds = objectField(all, "bounds");
-    result.stopLimit = durationField(bounds, "grace", result.stopLimit);
-    result.directoryLifetime = std::min(maxDirectoryLifetime,
-                                        durationField(bounds, "ttl_max", result.directoryLifetime));
-    result.retryShare = numberField(bounds, "retry_budget_ratio", result.retryShare);
-    result.retryWindow = durationField(bounds, "budget_window", result.retryWindow);
-    result.retryAllowance = numberField(bounds, "retry_budget_slack", result.retryAllowance);
-    result.coldOverage = numberField(bounds, "cold_overage", result.coldOverage);
-    result.coldAllowance = numberField(bounds, "cold_slack", result.coldAllowance);
-    result.maxRegionShift = numberField(bounds, "max_region_shift", result.maxRegionShift);
+    result.stopLimit = periodField(bounds, "grace", result.stopLimit);
+    result.directoryLifetime
+        = std::min(maxDirectoryLifetime, periodField(bounds, "ttl_max", result.directoryLifetime));
+    result.retryShare = amountField(bounds, "retry_budget_ratio", result.retryShare);
+    result.retryWindow = periodField(bounds, "budget_window", result.retryWindow);
+    if (result.retryWindow.count() == 0)
+        throw settings_error("'budget_window' must be above 0");
+    result.retryAllowance = amountField(bounds, "retry_budget_slack", result.retryAllowance);
+    result.coldOverage = amountField(bounds, "cold_overage", result.coldOverage);
+    result.coldAllowance = amountField(bounds, "cold_slack", result.coldAllowance);
+    result.maxRegionShift = amountField(bounds, "max_region_shift", result.maxRegionShift);
 }
 
 void readTolerance(const json &all, node_settings &result)
@@ -108,16 +138,16 @@
         readBounds(all, result);
         const json limits = objectField(all, "limits");
         result.linkBytesPerSecond
-            = numberField(limits, "link_mbps", result.linkBytesPerSecond / bytesPerMegabit)
+            = amountField(limits, "link_mbps", result.linkBytesPerSecond / bytesPerMegabit)
             * bytesPerMegabit;
-        if (!(result.linkBytesPerSecond > 0))
+        if (result.linkBytesPerSecond == 0)
             throw settings_error("'link_mbps' must be above 0");
         result.isFirstStart = booleanField(all, "bootstrap", false);
         result.dataFolder = stringField(all, "data_dir", "");
         readTolerance(all, result);
         const json list = objectField(all, "cloud");
         result.listAddress = stringField(list, "address", "");
-        result.listCallsPerSecond = numberField(list, "rate_per_s", result.listCallsPerSecond);
+        result.listCallsPerSecond = amountField(list, "rate_per_s", result.listCallsPerSecond);
     } catch (const net_error &failure) {
         throw settings_error(failure.what());
     }
--- a/tests/platform/platform_formats_test.cc
+++ b/tests/platform/platform_formats_test.cc
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(deepEntryUsesLittleMemory);
     CPPUNIT_TEST(oddTokenIsNotTheEndOfTheList);
     CPPUNIT_TEST(readsSettings);
+    CPPUNIT_TEST(rejectsSettingsOutOfRange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -368,6 +369,30 @@
                   "fault_tolerance":{"machines":-1}})"})
             CPPUNIT_ASSERT_THROW_MESSAGE(text, parsePlatformSettings(text), settings_error);
     }
+
+    // Guards against settings with which the process does something else than they say: a port that
+    // is cut to 16 bits, and limits and times below 0.
+    void rejectsSettingsOutOfRange()
+    {
+        const auto read = [](const std::string &ports, const std::string &members) {
+            return parsePlatformSettings(
+                fmt::format(R"({{"node_name":"n","ip":"1.2.3.4","seeds":[],)"
+                            R"("internal_ports":[{}],{}}})",
+                            ports, members));
+        };
+        const std::string sound = R"("bounds":{})";
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{65'534}, read("65534,7675", sound).firstInternalPort);
+        for (const char *port : {"0", "65535", "70000", "18446744073709551615"})
+            CPPUNIT_ASSERT_THROW_MESSAGE(port, read(port, sound), settings_error);
+        for (const char *odd :
+             {R"("bounds":{"grace":"-1s"})", R"("bounds":{"ttl_max":"-1ms"})",
+              R"("bounds":{"retry_budget_ratio":-0.1})", R"("bounds":{"budget_window":"0ms"})",
+              R"("bounds":{"retry_budget_slack":-1})", R"("bounds":{"cold_overage":-1})",
+              R"("bounds":{"cold_slack":-1})", R"("bounds":{"max_region_shift":-1e30})",
+              R"("cloud":{"rate_per_s":-1})", R"("limits":{"link_mbps":0})"})
+            CPPUNIT_ASSERT_THROW_MESSAGE(odd, read("7660", odd), settings_error);
+        CPPUNIT_ASSERT(read("7660", R"("bounds":{"grace":"0ms","cold_slack":0})").stopLimit == 0ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_formats_test);
