--- a/src/control/grpc_peer_transport.cc
+++ b/src/control/grpc_peer_transport.cc
@@ -81,7 +81,7 @@
 std::shared_ptr<grpc_peer_transport::peer>
 grpc_peer_transport::addPeer(replica_id id, const std::string &address)
 {
-    const auto added = std::make_shared<peer>(id, address, m_settings.maxQueuedMessages);
+    auto added = std::make_shared<peer>(id, address, m_settings.maxQueuedMessages);
     added->thread = std::thread([this, &target = *added] { run(target); });
     m_peers[id] = added;
     return added;
