End a call at once when a stray response has no end

A response to another request is skipped. If it has no length, it lasts until the connection ends, and the response that follows it is skipped as a part of its body: the caller waits until the timeout and gets 504.

Such a response now ends the call like one without an id.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -150,7 +150,10 @@
     }
     const response_owner owner
         = m_call->ownerOf ? m_call->ownerOf(head) : response_owner::current_call;
-    if (owner == response_owner::unknown) {
+    // A response that lasts until the connection ends can't be skipped: what follows it would be
+    // taken for its body.
+    if (owner == response_owner::unknown
+        || (owner == response_owner::other_call && head.framing == body_framing::until_close)) {
         fail(call_failure::unassigned);
         return false;
     }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -38,10 +38,11 @@
 };
 
 // One HTTP/1.1 connection to a server, for one call at a time. Responses are buffered completely. A
-// response to another call is skipped. One that can't be assigned to any call ends the current one,
-// because the bytes that follow it can't be trusted either. The sizes of heads and bodies and the
-// numbers of interim and skipped responses are limited, so that a server can't send data without
-// end. The bodies of all connections together are limited by a response_budget.
+// response to another call is skipped, unless it has no end. One that can't be assigned to any call
+// ends the current one, because the bytes that follow it can't be trusted either. The sizes of
+// heads and bodies and the numbers of interim and skipped responses are limited, so that a server
+// can't send data without end. The bodies of all connections together are limited by a
+// response_budget.
 class http_client final : private response_budget::receiver
 {
 public:
--- a/tests/carrier/reverse_proxy_test.cc
+++ b/tests/carrier/reverse_proxy_test.cc
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(endlessResponsesDoNotExhaustMemory);
     CPPUNIT_TEST(duplicateRefusalIsSkipped);
     CPPUNIT_TEST(refusalWithoutIdOnReusedConnectionGives502);
+    CPPUNIT_TEST(endlessResponseToAnotherRequestFailsAtOnce);
     CPPUNIT_TEST(responsesWithoutIdAreNotUsed);
     CPPUNIT_TEST(successWithoutSealIsNotForwarded);
     CPPUNIT_TEST(requestWithoutIdGetsNewConnection);
@@ -391,6 +392,27 @@
         }
     }
 
+    // Guards against a request that waits for its deadline because its response is taken for the
+    // body of another one, which lasts until the connection ends.
+    void endlessResponseToAnotherRequestFailsAtOnce()
+    {
+        const scripted_server::script script = [](const std::string &request) {
+            const bool isStray = scriptedField(request, headerNames.requestId).starts_with("stray");
+            const std::string other
+                = fmt::format("HTTP/1.1 200 X\r\n{}: other\r\n\r\n", headerNames.requestId);
+            return scripted_answer{(isStray ? other : "") + answerOk(request).bytes};
+        };
+        proxy_fixture system({script});
+        const auto start = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT_EQUAL(502, system.send("/once/x", "stray-1", "claim").status);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < 10s); // half of the timeout
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, system.arrivals());
+        CPPUNIT_ASSERT_EQUAL(200, system.send("/once/x", "id-1", "claim").status);
+        proxy_fixture retrying({script, answerOk});
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, retrying.send("/safe/x", fmt::format("stray-{}", i)).status);
+    }
+
     // Guards against forwarding a success that no upstream of the platform has signed, such as the
     // response of another program at the upstream's address.
     void successWithoutSealIsNotForwarded()
