--- a/testing/scripted_server.cc
+++ b/testing/scripted_server.cc
@@ -112,6 +112,9 @@
 {
     to.isWaiting = answer.bytes.empty() && !answer.closes && !answer.resets;
     to.socket->send(answer.bytes);
+    if (!answer.laterBytes.empty())
+        m_loop.runAfter(answer.laterDelay,
+                        [&to, bytes = answer.laterBytes] { to.socket->send(bytes); });
     if (answer.resets)
         to.socket->reset();
     else if (answer.closes)
--- a/testing/scripted_server.h
+++ b/testing/scripted_server.h
@@ -44,6 +44,8 @@
     bool closes = false; // cleanly, after the bytes
     bool resets = false; // in place of a clean close
     std::chrono::milliseconds delay{0}; // before all that
+    std::string laterBytes = {}; // sent on the connection, while it is open, after `laterDelay`
+    std::chrono::milliseconds laterDelay{0};
 };
 
 // Answers whole requests with whatever bytes a test wants, to play upstreams that misbehave.
