--- a/src/control/grpc_peer_transport.cc
+++ b/src/control/grpc_peer_transport.cc
@@ -78,8 +78,8 @@
             addPeer(id, address);
 }
 
-std::shared_ptr<grpc_peer_transport::peer>
-grpc_peer_transport::addPeer(replica_id id, const std::string &address)
+std::shared_ptr<grpc_peer_transport::peer> grpc_peer_transport::addPeer(replica_id id,
+                                                                        const std::string &address)
 {
     auto added = std::make_shared<peer>(id, address, m_settings.maxQueuedMessages);
     added->thread = std::thread([this, &target = *added] { run(target); });
--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -103,7 +103,8 @@
     const json token = member.depth == 0 ? json::parse(member.value, nullptr, false) : json();
     if (member.depth == 0 && token.is_null())
         return {};
-    if (!token.is_string() || token.get_ref<const std::string &>().find(nonAsciiPlaceholder) != std::string::npos)
+    if (!token.is_string()
+        || token.get_ref<const std::string &>().find(nonAsciiPlaceholder) != std::string::npos)
         throw control_error("the page of the list has an unreadable 'next_token'");
     return token.get<std::string>();
 }
--- a/src/steering/upstream_notices.h
+++ b/src/steering/upstream_notices.h
@@ -32,8 +32,8 @@
 
     // Returns whether this is the first notice that it leaves.
     bool recordLeaving();
-    // The upstream rejected a request and wants none for `period`. An earlier period that ends later
-    // stays in force.
+    // The upstream rejected a request and wants none for `period`. An earlier period that ends
+    // later stays in force.
     void recordQuiet(steady_time now, std::chrono::milliseconds period);
     // The upstream responded without asking for a quiet period.
     void recordResponse(steady_time now);
--- a/tests/agreement/replica_test.cc
+++ b/tests/agreement/replica_test.cc
@@ -119,8 +119,8 @@
         target.disk->restart(memory_file_system::lost::all, 1);
     }
     // Ends the process of a replica and starts it on the same files, whose disk stays full until
-    // `fullUntil`, as often as it takes for a start to succeed. Returns whether the disk had room at
-    // that start.
+    // `fullUntil`, as often as it takes for a start to succeed. Returns whether the disk had room
+    // at that start.
     bool restartAfterFailure(replica_id id, std::chrono::steady_clock::time_point fullUntil)
     {
         member &target = m_members[id];
