Answer requests that were read before a stop closes their connection

During a graceful stop a response says "Connection: close" if no exchange is pending behind it. Requests that had been read but not parsed were not looked at: they wait behind a response that is written at once, or, because of the bound on unsent responses, behind one that the caller has not taken. The connection ended without their responses.

A response is now the last one only if no whole head follows in the input.

--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -132,6 +132,13 @@
             || m_server.m_unsentBytes > options.maxUnsentBytes);
 }
 
+// Returns whether the input begins with the whole head of a request that is still to be handled.
+bool server_connection::hasUnparsedHead() const
+{
+    const bool isBetweenRequests = !m_currentExchange || m_decoder->isComplete();
+    return isBetweenRequests && !m_isClosing && findHeadEnd(m_socket.input());
+}
+
 bool server_connection::readHead()
 {
     const auto end = findHeadEnd(m_socket.input());
@@ -257,7 +264,8 @@
             return;
         }
         // Closing the connection now would lose the responses to the requests behind this one.
-        const bool close = !first.keepAlive || (m_server.m_isClosing && m_pendingExchanges.empty());
+        const bool isLast = m_pendingExchanges.empty() && !hasUnparsedHead();
+        const bool close = !first.keepAlive || (m_server.m_isClosing && isLast);
         std::string &response = first.exchange->m_response;
         if (close)
             response.insert(response.find("\r\n") + 2, "Connection: close\r\n");
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -41,6 +41,7 @@
     void processInput();
     // Returns whether further requests have to wait for the responses to earlier ones.
     bool isPipelineFull() const;
+    bool hasUnparsedHead() const;
     bool readHead();
     bool readBody();
     void dispatch();
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -173,6 +173,7 @@
     CPPUNIT_TEST(detectsCallerDisconnect);
     CPPUNIT_TEST(rejectsMalformedAndTooLargeRequests);
     CPPUNIT_TEST(stopSendsPendingResponsesBeforeClosing);
+    CPPUNIT_TEST(stopAnswersRequestsThatWereRead);
     CPPUNIT_TEST(boundsBufferedBodies);
     CPPUNIT_TEST(abortClosesConnectionWithoutResponse);
     CPPUNIT_TEST(dispatchesLongBodyBeforeItIsComplete);
@@ -274,6 +275,31 @@
         CPPUNIT_ASSERT(connection.waitPeerLeft(10s));
     }
 
+    // Guards against a graceful stop that closes a connection although further requests were read
+    // from it, which wait behind the responses to earlier ones.
+    void stopAnswersRequestsThatWereRead()
+    {
+        http_server_options options;
+        for (const std::uint64_t maxUnsentBytes : {std::uint64_t{0}, options.maxUnsentBytes}) {
+            options.maxUnsentBytesPerConnection = maxUnsentBytes;
+            for (const std::string path : {"/first", "/large"}) {
+                holding_server server(options);
+                http_connection connection(server.connect());
+                server.thread().call([&] { server.server().announceStop(); });
+                connection.send(request(path) + request("/second", "Content-Length: 4\r\n") + "body"
+                                + request("/third"));
+                const std::string first = readBody(connection);
+                CPPUNIT_ASSERT(first == (path == "/large" ? holding_server::largeBody() : path));
+                CPPUNIT_ASSERT_EQUAL(std::string("/secondbody"), readBody(connection));
+                Poco::Net::HTTPResponse last;
+                CPPUNIT_ASSERT(connection.readHead(last));
+                CPPUNIT_ASSERT_EQUAL(std::string("close"), last.get("Connection", ""));
+                connection.readBody(last, [](std::string_view) {});
+                CPPUNIT_ASSERT(connection.waitPeerLeft(10s));
+            }
+        }
+    }
+
     void boundsBufferedBodies()
     {
         http_server_options options;
--- a/tests/property/slow_reader_test.cc
+++ b/tests/property/slow_reader_test.cc
@@ -9,6 +9,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <functional>
 #include <future>
@@ -100,7 +101,11 @@
 public:
     response_server()
         : m_server(m_thread.loop(), {"127.0.0.1", 0}, optionsWith(maxBodyBytes),
-                   [](const exchange_pointer &exchange) { respond(exchange); })
+                   [this](const exchange_pointer &exchange) {
+                       if (exchange->head.target.starts_with("/0/"))
+                           ++m_callers;
+                       respond(exchange);
+                   })
     {
         m_thread.start();
     }
@@ -109,6 +114,8 @@
     response_server &operator=(const response_server &) = delete;
 
     std::string address() const { return m_server.address().toString(); }
+    // Callers of whom at least one request has been read.
+    std::size_t callers() const { return m_callers; }
     void apply(event what)
     {
         m_thread.call([&] {
@@ -155,6 +162,7 @@
         exchange->respond(200, {}, bodyOf(static_cast<std::size_t>(target[1] - '0'), bytes));
     }
 
+    std::atomic<std::size_t> m_callers = 0;
     loop_thread m_thread;
     http_server m_server;
 };
@@ -238,6 +246,9 @@
         threads.emplace_back([&, i] {
             faults[i] = readSafely(server.address(), drawn.callers[i], [&event] { event.wait(); });
         });
+    // A connection on which nothing was read yet may be closed.
+    waitUntil("a request of each caller is read",
+              [&] { return server.callers() == drawn.callers.size(); });
     std::this_thread::sleep_for(drawn.at);
     server.apply(drawn.what);
     applied.set_value();
