--- a/tests/property/odd_json.cc
+++ b/tests/property/odd_json.cc
@@ -48,6 +48,14 @@
     return text.replace(at, from.size(), to);
 }
 
+std::string pointerTo(const std::vector<std::string> &path)
+{
+    std::string result;
+    for (const std::string &name : path)
+        result += "/" + name;
+    return result;
+}
+
 // Spellings that some rule takes for the same text.
 std::string drawSpelling(const std::string &text)
 {
@@ -61,19 +69,26 @@
                              "/" + text, text + " ", escaped, std::string());
 }
 
-// The texts of the document, of which one may be taken for another.
-std::vector<std::string> textsOf(const ordered_json &document)
+// The texts that stand for the same thing in other rows of the table, or in other entries, as the
+// text at `path`. One of them, in another spelling, may be taken for the other.
+std::vector<std::string> textsLike(const ordered_json &document,
+                                   const std::vector<std::string> &path)
 {
     std::vector<std::string> result;
-    const ordered_json flat = document.flatten();
-    for (const auto &[path, value] : flat.items())
-        if (value.is_string())
-            result.push_back(value.get<std::string>());
+    if (path.size() < 2)
+        return result;
+    const ordered_json entries = document.at(
+        ordered_json::json_pointer(pointerTo({path.begin(), std::prev(path.end(), 2)})));
+    const ordered_json::json_pointer member(pointerTo({path.back()}));
+    for (const auto &[name, entry] : entries.items())
+        if (entry.is_structured() && entry.contains(member) && entry.at(member).is_string())
+            result.push_back(entry.at(member).get<std::string>());
     return result;
 }
 
-// The text of an odd value in place of `sound`.
-std::string drawValue(const ordered_json &document, const ordered_json &sound)
+// The text of an odd value in place of `sound`, which is at `path`.
+std::string drawValue(const ordered_json &document, const std::vector<std::string> &path,
+                      const ordered_json &sound)
 {
     const std::vector<std::string> values = {"null",
                                              "true",
@@ -103,10 +118,10 @@
                                              fmt::format("\"{}\"", std::string(5'000, 'x')),
                                              "[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]",
                                              "nonsense"};
-    if (!sound.is_string() || *rc::gen::inRange(0, 2) == 0)
+    const std::vector<std::string> similar = textsLike(document, path);
+    if (!sound.is_string() || similar.empty() || *rc::gen::inRange(0, 2) == 0)
         return *rc::gen::elementOf(values);
-    const std::string like = *rc::gen::elementOf(textsOf(document));
-    return ordered_json(drawSpelling(like)).dump();
+    return ordered_json(drawSpelling(*rc::gen::elementOf(similar))).dump();
 }
 
 std::string drawName(const std::string &name)
@@ -161,14 +176,15 @@
     const std::string mark = ordered_json(placeholder).dump();
     const std::string namedMark = ordered_json(name).dump() + ":" + mark;
     if (result.kind == replaced) {
-        result.value = drawValue(sound, value);
+        result.value = drawValue(sound, result.path, value);
         result.text = replaceOnce(marked, mark, result.value);
     } else if (result.kind == renamed) {
         result.value = drawName(name);
         result.text
             = replaceOnce(marked, namedMark, fmt::format("\"{}\":{}", result.value, value.dump()));
     } else {
-        result.value = *rc::gen::inRange(0, 2) == 0 ? value.dump() : drawValue(sound, value);
+        result.value
+            = *rc::gen::inRange(0, 2) == 0 ? value.dump() : drawValue(sound, result.path, value);
         std::string first = value.dump();
         std::string second = result.value;
         if (*rc::gen::inRange(0, 2) == 0)
