Generators: wait for what happened in place of fixed times

Two waits could change the verdict on a slow machine. stray_bytes_test slept for 50 ms until an upstream had written stray bytes to an idle connection; if the timer was later, the next request met them and got 502.

--- a/testing/scripted_server.cc
+++ b/testing/scripted_server.cc
@@ -111,10 +111,14 @@
 void scripted_server::send(peer &to, const scripted_answer &answer)
 {
     to.isWaiting = answer.bytes.empty() && !answer.closes && !answer.resets;
+    if (!answer.laterBytes.empty())
+        ++m_pendingLater;
     to.socket->send(answer.bytes);
     if (!answer.laterBytes.empty())
-        m_loop.runAfter(answer.laterDelay,
-                        [&to, bytes = answer.laterBytes] { to.socket->send(bytes); });
+        m_loop.runAfter(answer.laterDelay, [this, &to, bytes = answer.laterBytes] {
+            to.socket->send(bytes);
+            --m_pendingLater;
+        });
     if (answer.resets)
         to.socket->reset();
     else if (answer.closes)
--- a/testing/scripted_server.h
+++ b/testing/scripted_server.h
@@ -70,6 +70,8 @@
     std::size_t connections() const { return m_accepted; }
     // Heads of requests that arrived.
     std::size_t heads() const { return m_heads; }
+    // Answers whose `laterBytes` are still to be sent.
+    std::size_t pendingLater() const { return m_pendingLater; }
     // Connections that the other side closed in the middle of a request.
     std::size_t brokenOff() const { return m_brokenOff; }
 
@@ -100,6 +102,7 @@
     std::atomic<std::size_t> m_accepted = 0;
     std::atomic<std::size_t> m_heads = 0;
     std::atomic<std::size_t> m_brokenOff = 0;
+    std::atomic<std::size_t> m_pendingLater = 0;
 };
 
 // A response with Content-Length; `fields` are lines that end with CR LF.
